--- /dev/null
+++ b/include/carawayloft/backend/answer_relay.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <carawayloft/core/filter.h>
+#include <carawayloft/messages/request_messages.h>
+
+#include <deque>
+#include <string>
+#include <variant>
+
+namespace carawayloft {
+
+// Inputs.
+
+struct backend_started {
+    std::uint32_t status = 0;
+    std::string contentType;
+};
+
+struct backend_bytes {
+    std::string bytes;
+};
+
+struct backend_finished {
+};
+
+struct backend_failed {
+    bool neverStarted = false;
+};
+
+struct credit_granted {
+    std::uint32_t chunks = 0;
+};
+
+// Outputs.
+
+/** A frame for the entry. */
+struct relay_frame {
+    std::variant<answer_head, answer_chunk, answer_end> frame;
+};
+
+/** The backend server should stop sending, or may go on. */
+struct pace_backend {
+    bool paused = false;
+};
+
+struct relay_done {
+    bool complete = false;
+    bool neverStarted = false;
+};
+
+using relay_input = std::variant<backend_started, backend_bytes, backend_finished, backend_failed, credit_granted>;
+using relay_output = std::variant<relay_frame, pace_backend, relay_done>;
+
+/**
+ * Turns a backend server's answer into numbered chunks, as many as there is credit for. In a stream
+ * each server-sent event is a chunk, so that offsets mean the same at every group.
+ */
+class answer_relay
+{
+public:
+    using input = relay_input;
+    using output = relay_output;
+
+    explicit answer_relay(const dispatch_request &request);
+
+    std::vector<output> step(const input &in, time_point now);
+
+private:
+    void take(const backend_started &in, std::vector<output> &out);
+    void take(const backend_bytes &in, std::vector<output> &out);
+    void take(const backend_finished &in, std::vector<output> &out);
+    void take(const backend_failed &in, std::vector<output> &out);
+    void take(const credit_granted &in, std::vector<output> &out);
+    void splitEvents();
+    void pump(std::vector<output> &out);
+
+    request_id m_request;
+    attempt_number m_attempt;
+    bool m_stream;
+    stream_offset m_offset;
+    std::uint32_t m_credit;
+    std::string m_partial;
+    std::deque<std::string> m_waiting;
+    bool m_started = false;
+    bool m_sawEnd = false;
+    bool m_finished = false;
+    bool m_paused = false;
+    bool m_done = false;
+};
+
+static_assert(filter<answer_relay>);
+
+} // namespace carawayloft
--- /dev/null
+++ b/include/carawayloft/core/units.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace carawayloft {
+
+/** Monotonic time; decisions take it as an argument and never read a clock. */
+using time_point = std::chrono::steady_clock::time_point;
+using duration = std::chrono::milliseconds;
+
+/** Wall-clock time, for deadlines that operators state and for retention. */
+using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
+} // namespace carawayloft
--- /dev/null
+++ b/include/carawayloft/order/fleet_command.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include <carawayloft/order/records.h>
+
+#include <variant>
+
+/** Changes of the fleet's configuration, as they stand in the agreed log. */
+namespace carawayloft {
+
+struct put_zone {
+    zone_record zone;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"zone", &put_zone::zone});
+    }
+};
+
+struct put_host {
+    host_record host;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"host", &put_host::host});
+    }
+};
+
+/** Forgets a host that belongs to no group. */
+struct remove_host {
+    host_id host;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"host", &remove_host::host});
+    }
+};
+
+struct put_service {
+    service_record service;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"service", &put_service::service});
+    }
+};
+
+struct put_account {
+    account_record account;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"account", &put_account::account});
+    }
+};
+
+/** Makes a group of free hosts; its id and epoch are the log index. */
+struct create_group {
+    service_id service;
+    std::vector<host_id> hosts;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"service", &create_group::service}, field{"hosts", &create_group::hosts});
+    }
+};
+
+/** Exchanges one member for a free host; the group's epoch becomes the log index. */
+struct replace_member {
+    group_id group;
+    group_epoch epoch;
+    host_id leaving;
+    host_id joining;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"group", &replace_member::group},
+                          field{"epoch", &replace_member::epoch},
+                          field{"leaving", &replace_member::leaving},
+                          field{"joining", &replace_member::joining});
+    }
+};
+
+/** The group takes no new work from here on. */
+struct drain_group {
+    group_id group;
+    group_epoch epoch;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"group", &drain_group::group}, field{"epoch", &drain_group::epoch});
+    }
+};
+
+/** Frees the hosts of a group; proposed only after its leases surely ended or were released. */
+struct dissolve_group {
+    group_id group;
+    group_epoch epoch;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"group", &dissolve_group::group}, field{"epoch", &dissolve_group::epoch});
+    }
+};
+
+/** Records a proposed plan; its id is the log index. */
+struct propose_plan {
+    plan_record plan;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"plan", &propose_plan::plan});
+    }
+};
+
+struct confirm_plan {
+    plan_id plan;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"plan", &confirm_plan::plan});
+    }
+};
+
+struct cancel_plan {
+    plan_id plan;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"plan", &cancel_plan::plan});
+    }
+};
+
+/** Marks step @p step of a confirmed plan as done; repeated or out of turn it changes nothing. */
+struct advance_plan {
+    plan_id plan;
+    std::uint32_t step = 0;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"plan", &advance_plan::plan}, field{"step", &advance_plan::step});
+    }
+};
+
+using fleet_change = std::variant<put_zone,
+                                  put_host,
+                                  remove_host,
+                                  put_service,
+                                  put_account,
+                                  create_group,
+                                  replace_member,
+                                  drain_group,
+                                  dissolve_group,
+                                  propose_plan,
+                                  confirm_plan,
+                                  cancel_plan,
+                                  advance_plan>;
+
+/** A change with the name of its sender's request and the revision that the sender saw. */
+struct fleet_command {
+    command_id command; /**< Empty for the system's own changes, which are safe to repeat. */
+    std::string author;
+    revision seen; /**< Zero when the change does not depend on what was seen. */
+    fleet_change change;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"command", &fleet_command::command},
+                          field{"author", &fleet_command::author},
+                          field{"seen", &fleet_command::seen},
+                          field{"change", &fleet_command::change});
+    }
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/include/carawayloft/order/fleet_state.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <carawayloft/core/result.h>
+#include <carawayloft/order/fleet_command.h>
+
+#include <deque>
+#include <map>
+
+namespace carawayloft {
+
+/** What an accepted command came to; kept so that a resend gets the first answer. */
+struct command_answer {
+    command_id command;
+    std::string author;
+    revision at;
+    std::uint8_t refused = 0; /**< 1 when refused with the error below. */
+    std::uint8_t kind = 0; /**< error_kind of the refusal. */
+    std::string what;
+    std::string remedy;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"command", &command_answer::command},
+                          field{"author", &command_answer::author},
+                          field{"revision", &command_answer::at},
+                          field{"refused", &command_answer::refused},
+                          field{"kind", &command_answer::kind},
+                          field{"what", &command_answer::what},
+                          field{"remedy", &command_answer::remedy});
+    }
+};
+
+/** All of the fleet's configuration, for snapshots and first publications. */
+struct fleet_snapshot {
+    revision at;
+    std::vector<zone_record> zones;
+    std::vector<host_record> hosts;
+    std::vector<group_record> groups;
+    std::vector<service_record> services;
+    std::vector<account_record> accounts;
+    std::vector<plan_record> plans;
+    std::vector<command_answer> answers;
+    revision lastOperatorChange;
+    std::string lastAuthor;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"revision", &fleet_snapshot::at},
+                          field{"zones", &fleet_snapshot::zones},
+                          field{"hosts", &fleet_snapshot::hosts},
+                          field{"groups", &fleet_snapshot::groups},
+                          field{"services", &fleet_snapshot::services},
+                          field{"accounts", &fleet_snapshot::accounts},
+                          field{"plans", &fleet_snapshot::plans},
+                          field{"answers", &fleet_snapshot::answers},
+                          field{"last_operator_change", &fleet_snapshot::lastOperatorChange},
+                          field{"last_author", &fleet_snapshot::lastAuthor});
+    }
+};
+
+/**
+ * The deterministic state machine of the fleet's configuration. Replicas apply agreed commands; entries
+ * and agents apply the same commands as published. Revisions only grow.
+ */
+class fleet_state
+{
+public:
+    /** Applies the command at @p at. A refusal changes nothing but the revision and the remembered answer. */
+    result<revision> apply(const fleet_command &command, revision at);
+
+    /** Replaces all by @p snapshot unless it is older; returns whether it was taken. */
+    bool restore(const fleet_snapshot &snapshot);
+    fleet_snapshot snapshot() const;
+
+    revision at() const
+    {
+        return m_at;
+    }
+    const std::map<availability_zone_id, zone_record> &zones() const
+    {
+        return m_zones;
+    }
+    const std::map<host_id, host_record> &hosts() const
+    {
+        return m_hosts;
+    }
+    const std::map<group_id, group_record> &groups() const
+    {
+        return m_groups;
+    }
+    const std::map<service_id, service_record> &services() const
+    {
+        return m_services;
+    }
+    const std::map<client_account_id, account_record> &accounts() const
+    {
+        return m_accounts;
+    }
+    const std::map<plan_id, plan_record> &plans() const
+    {
+        return m_plans;
+    }
+
+    /** The group that @p host is assigned to, or nullptr. */
+    const group_record *groupOf(const host_id &host) const;
+    const host_record *host(const host_id &host) const;
+
+    /** Whether new work may go to @p zone; an undeclared zone serves. */
+    bool acceptsWork(const availability_zone_id &zone) const;
+
+private:
+    status change(const put_zone &change, revision at);
+    status change(const put_host &change, revision at);
+    status change(const remove_host &change, revision at);
+    status change(const put_service &change, revision at);
+    status change(const put_account &change, revision at);
+    status change(const create_group &change, revision at);
+    status change(const replace_member &change, revision at);
+    status change(const drain_group &change, revision at);
+    status change(const dissolve_group &change, revision at);
+    status change(const propose_plan &change, revision at);
+    status change(const confirm_plan &change, revision at);
+    status change(const cancel_plan &change, revision at);
+    status change(const advance_plan &change, revision at);
+
+    result<group_record *> findGroup(group_id group, group_epoch epoch);
+    result<plan_record *> findPlan(plan_id plan);
+    status checkFree(const host_id &host, const service_id &service) const;
+    status checkSeen(const fleet_command &command) const;
+    void remember(command_answer answer);
+
+    revision m_at;
+    revision m_lastOperatorChange;
+    std::string m_lastAuthor;
+    std::map<availability_zone_id, zone_record> m_zones;
+    std::map<host_id, host_record> m_hosts;
+    std::map<group_id, group_record> m_groups;
+    std::map<host_id, group_id> m_assignments;
+    std::map<service_id, service_record> m_services;
+    std::map<client_account_id, account_record> m_accounts;
+    std::map<plan_id, plan_record> m_plans;
+    std::map<command_id, command_answer> m_answers;
+    std::deque<command_id> m_answerOrder;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/include/carawayloft/order/log_entry.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <carawayloft/core/fields.h>
+#include <carawayloft/core/ids.h>
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+namespace carawayloft {
+
+enum class member_role : std::uint8_t {
+    Voter,
+    Learner, /**< Receives the log but counts for no quorum. */
+};
+
+/** A replica of the agreed log and where it is reached. */
+struct log_member {
+    replica_id replica;
+    member_role role = member_role::Voter;
+    endpoint frames;
+    endpoint http;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(
+            field{"replica", &log_member::replica}, field{"role", &log_member::role}, field{"frames", &log_member::frames}, field{"http", &log_member::http});
+    }
+
+    friend bool operator==(const log_member &, const log_member &) = default;
+};
+
+enum class entry_kind : std::uint8_t {
+    Command,
+    Membership, /**< Replaces the set of replicas, from the moment it is appended. */
+    Empty, /**< Opens a leader's term. */
+};
+
+struct log_entry {
+    log_index index;
+    log_term term;
+    entry_kind kind = entry_kind::Command;
+    std::vector<std::uint8_t> payload;
+    std::vector<log_member> members;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"index", &log_entry::index},
+                          field{"term", &log_entry::term},
+                          field{"kind", &log_entry::kind},
+                          field{"payload", &log_entry::payload},
+                          field{"members", &log_entry::members});
+    }
+
+    friend bool operator==(const log_entry &, const log_entry &) = default;
+};
+
+/** What a replica has promised and must never forget. */
+struct hard_state {
+    log_term term;
+    replica_id votedFor; /**< Zero for none. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"term", &hard_state::term}, field{"voted_for", &hard_state::votedFor});
+    }
+
+    friend bool operator==(const hard_state &, const hard_state &) = default;
+};
+
+/** State of the applied machine up to and including @p index. */
+struct log_snapshot {
+    log_index index;
+    log_term term;
+    std::vector<log_member> members;
+    std::vector<std::uint8_t> state;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"index", &log_snapshot::index},
+                          field{"term", &log_snapshot::term},
+                          field{"members", &log_snapshot::members},
+                          field{"state", &log_snapshot::state});
+    }
+};
+
+/** What a replica finds on its disk when it starts. */
+struct recovered_log {
+    hard_state promise;
+    log_snapshot snapshot;
+    std::vector<log_entry> entries;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/include/carawayloft/order/publisher.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <carawayloft/core/filter.h>
+#include <carawayloft/messages/control_messages.h>
+
+#include <deque>
+#include <map>
+#include <variant>
+
+namespace carawayloft {
+
+// Inputs.
+
+/** A change was agreed on; @p after is the revision before it. */
+struct change_agreed {
+    publish_change change;
+};
+
+/** A process wants everything from @p from on; a confirmed read stands behind the question. */
+struct subscriber_joined {
+    link_id link;
+    revision from;
+    const fleet_state &fleet;
+};
+
+struct subscriber_left {
+    link_id link;
+};
+
+struct subscriber_confirmed {
+    link_id link;
+    revision at;
+};
+
+/** This replica no longer leads. */
+struct publishing_ended {
+};
+
+// Outputs.
+
+struct publish_to {
+    link_id link;
+    std::variant<publish_snapshot, publish_change, confirm_revision> message;
+};
+
+/** All subscribers have confirmed the change. */
+struct publication_complete {
+    revision at;
+    duration after{0};
+    std::size_t subscribers = 0;
+};
+
+using publisher_input = std::variant<change_agreed, subscriber_joined, subscriber_left, subscriber_confirmed, publishing_ended>;
+using publisher_output = std::variant<publish_to, publication_complete>;
+
+/** Pushes agreed changes to every subscriber and measures when they are in force everywhere. */
+class publisher
+{
+public:
+    using input = publisher_input;
+    using output = publisher_output;
+
+    std::vector<output> step(const input &in, time_point now);
+
+    std::size_t subscribers() const
+    {
+        return m_subscribers.size();
+    }
+
+private:
+    void take(const change_agreed &in, time_point now, std::vector<output> &out);
+    void take(const subscriber_joined &in, time_point now, std::vector<output> &out);
+    void take(const subscriber_left &in, time_point now, std::vector<output> &out);
+    void take(const subscriber_confirmed &in, time_point now, std::vector<output> &out);
+    void take(const publishing_ended &in, time_point now, std::vector<output> &out);
+    void reportComplete(time_point now, std::vector<output> &out);
+
+    std::map<link_id, revision> m_subscribers; /**< With the revision that each confirmed. */
+    std::deque<publish_change> m_recent; /**< Without gaps; serves processes that were away for a moment. */
+    std::map<revision, time_point> m_pending; /**< Changes not yet confirmed by all. */
+};
+
+static_assert(filter<publisher>);
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/codec/payload_codec.cpp
@@ -0,0 +1,12 @@
+#include "codec/payload_codec.h"
+
+#include "codec/flat_codec.h"
+
+namespace carawayloft {
+
+payload_codec flatPayloadCodec()
+{
+    return {&flat::encode<log_payload>, &flat::decode<log_payload>, &flat::encode<machine_snapshot>, &flat::decode<machine_snapshot>};
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/codec/payload_codec.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <carawayloft/order/log_payload.h>
+
+namespace carawayloft {
+
+/** Payloads and snapshots of the agreed log as FlatBuffers. */
+payload_codec flatPayloadCodec();
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/core/event.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+
+namespace carawayloft {
+
+/** Numbers of the events in the log; docs/EVENTS.md says what each means and what to do. */
+enum class event_number : std::uint16_t {
+    ProcessStarted = 100,
+    ProcessStopping = 101,
+    ProcessStopped = 102,
+    SettingsRejected = 103,
+    StopOverdue = 104,
+    LinkOpened = 110,
+    LinkClosed = 111,
+    FrameRejected = 112,
+    RequestRejected = 200,
+    RouteChosen = 201,
+    RouteNone = 202,
+    RequestRetried = 203,
+    StreamResumed = 204,
+    AnswerCut = 205,
+    RequestOutcomeUnknown = 206,
+    CallerGone = 207,
+    GroupEjected = 208,
+    GroupProbed = 209,
+    ClaimDecided = 210,
+    WorkRefused = 300,
+    LimitChanged = 301,
+    BackendAnnounced = 302,
+    BackendCold = 303,
+    BackendLost = 304,
+    BackendLeaving = 305,
+    GroupSilenced = 310,
+    GroupWhole = 311,
+    LeaseRefused = 312,
+    ControlLeaseLost = 313,
+    ControlLeaseGained = 314,
+    RoleChanged = 400,
+    ChangeAccepted = 401,
+    ChangeRefused = 402,
+    RevisionInForce = 403,
+    RevisionIgnored = 404,
+    LogFormed = 405,
+    LogRecovered = 406,
+    SnapshotTaken = 407,
+    ReplicaStopped = 408,
+    ReplicaJoining = 409,
+    DiskSpaceLow = 410,
+    GroupPlaced = 500,
+    GroupDissolved = 501,
+    MemberReplaced = 502,
+    PlacementStranded = 503,
+    PlanProposed = 510,
+    PlanConfirmed = 511,
+    PlanStepDone = 512,
+    PlanCancelled = 513,
+    ZoneChanged = 514,
+};
+
+enum class severity : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+struct event_traits {
+    const char *name;
+    severity level;
+};
+
+/** Name and severity of an event. */
+event_traits traitsOf(event_number event);
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/http_client.cpp
@@ -0,0 +1,323 @@
+#include "ends/http_client.h"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <curl/curl.h>
+
+#include <map>
+
+namespace carawayloft {
+
+namespace {
+
+/** One call under way. */
+struct transfer {
+    http_call_id id;
+    CURL *easy = nullptr;
+    curl_slist *headers = nullptr;
+    std::string body;
+    http_client::handler handle;
+    bool started = false;
+    bool paused = false;
+
+    ~transfer()
+    {
+        curl_slist_free_all(headers);
+        curl_easy_cleanup(easy);
+    }
+};
+
+/** A socket of libcurl's that the io_context watches. */
+struct watched_socket {
+    explicit watched_socket(asio::io_context &context, curl_socket_t socket)
+        : descriptor(context, socket)
+    {
+    }
+
+    ~watched_socket()
+    {
+        descriptor.release();
+    }
+
+    asio::posix::stream_descriptor descriptor;
+    int interest = 0;
+    bool reading = false;
+    bool writing = false;
+};
+
+} // namespace
+
+class http_client::impl
+{
+public:
+    explicit impl(asio::io_context &context)
+        : m_context(context)
+        , m_timer(context)
+        , m_multi(curl_multi_init())
+    {
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &impl::onSocket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &impl::onTimer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+    }
+
+    ~impl()
+    {
+        m_closing = true;
+        for (const auto &[id, each] : m_transfers) {
+            curl_multi_remove_handle(m_multi, each->easy);
+        }
+        m_transfers.clear();
+        curl_multi_cleanup(m_multi);
+        m_sockets.clear();
+    }
+
+    http_call_id start(const http_call &call, handler handle)
+    {
+        auto one = std::make_shared<transfer>();
+        one->id = m_next = carawayloft::next(m_next);
+        one->easy = curl_easy_init();
+        one->body = call.body;
+        one->handle = std::move(handle);
+        configure(*one, call);
+        m_transfers.emplace(one->id, one);
+        asio::post(m_context, [this, alive = std::weak_ptr<int>(m_alive), one] {
+            if (!alive.expired() && m_transfers.contains(one->id)) {
+                curl_multi_add_handle(m_multi, one->easy);
+            }
+        });
+        return one->id;
+    }
+
+    void cancel(http_call_id call)
+    {
+        const auto found = m_transfers.find(call);
+        if (found == m_transfers.end()) {
+            return;
+        }
+        const std::shared_ptr<transfer> one = found->second;
+        m_transfers.erase(found);
+        // libcurl forbids removing a handle from inside its own callbacks.
+        asio::post(m_context, [this, alive = std::weak_ptr<int>(m_alive), one] {
+            if (!alive.expired()) {
+                curl_multi_remove_handle(m_multi, one->easy);
+            }
+        });
+    }
+
+    void setPaused(http_call_id call, bool paused)
+    {
+        const auto found = m_transfers.find(call);
+        if (found == m_transfers.end() || found->second->paused == paused) {
+            return;
+        }
+        found->second->paused = paused;
+        if (!paused) {
+            asio::post(m_context, [this, alive = std::weak_ptr<int>(m_alive), one = found->second] {
+                if (!alive.expired() && m_transfers.contains(one->id) && !one->paused) {
+                    curl_easy_pause(one->easy, CURLPAUSE_CONT);
+                    collect();
+                }
+            });
+        }
+    }
+
+private:
+    static constexpr long maxIdleConnections = 64;
+    static constexpr long connectTimeoutMs = 2'000;
+
+    void configure(transfer &one, const http_call &call)
+    {
+        CURL *easy = one.easy;
+        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOBODY, call.method == "HEAD" ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        if (!one.body.empty() || call.method == "POST" || call.method == "PUT") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, one.body.c_str());
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(one.body.size()));
+        }
+        one.headers = curl_slist_append(one.headers, "Expect:");
+        for (const auto &[name, value] : call.headers) {
+            one.headers = curl_slist_append(one.headers, (name + ": " + value).c_str());
+        }
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, one.headers);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &impl::onBytes);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &one);
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &one);
+    }
+
+    static void reportStart(transfer &one)
+    {
+        if (one.started) {
+            return;
+        }
+        one.started = true;
+        long status = 0;
+        const char *contentType = nullptr;
+        curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
+        curl_easy_getinfo(one.easy, CURLINFO_CONTENT_TYPE, &contentType);
+        one.handle(http_started{static_cast<std::uint32_t>(status), contentType == nullptr ? "" : contentType});
+    }
+
+    static std::size_t onBytes(const char *bytes, std::size_t size, std::size_t count, void *user)
+    {
+        auto &one = *static_cast<transfer *>(user);
+        if (one.paused) {
+            return CURL_WRITEFUNC_PAUSE;
+        }
+        reportStart(one);
+        one.handle(http_received{std::string(bytes, size * count)});
+        return size * count;
+    }
+
+    static int onSocket(CURL *, curl_socket_t socket, int what, void *user, void *)
+    {
+        auto &self = *static_cast<impl *>(user);
+        if (what == CURL_POLL_REMOVE) {
+            self.m_sockets.erase(socket);
+            return 0;
+        }
+        if (self.m_closing) {
+            return 0;
+        }
+        auto &watched = self.m_sockets[socket];
+        if (!watched) {
+            watched = std::make_shared<watched_socket>(self.m_context, socket);
+        }
+        watched->interest = what;
+        self.watch(socket, watched);
+        return 0;
+    }
+
+    void watch(curl_socket_t socket, const std::shared_ptr<watched_socket> &watched)
+    {
+        if ((watched->interest & CURL_POLL_IN) != 0 && !watched->reading) {
+            watched->reading = true;
+            wait(socket, watched, asio::posix::descriptor_base::wait_read, CURL_CSELECT_IN, &watched_socket::reading);
+        }
+        if ((watched->interest & CURL_POLL_OUT) != 0 && !watched->writing) {
+            watched->writing = true;
+            wait(socket, watched, asio::posix::descriptor_base::wait_write, CURL_CSELECT_OUT, &watched_socket::writing);
+        }
+    }
+
+    void wait(curl_socket_t socket,
+              const std::shared_ptr<watched_socket> &watched,
+              asio::posix::descriptor_base::wait_type type,
+              int action,
+              bool watched_socket::*flag)
+    {
+        watched->descriptor.async_wait(type, [this, socket, action, flag, weak = std::weak_ptr<watched_socket>(watched)](const std::error_code &failure) {
+            const auto alive = weak.lock();
+            if (!alive || failure) {
+                return;
+            }
+            (*alive).*flag = false;
+            act(socket, action);
+            const auto still = m_sockets.find(socket);
+            if (still != m_sockets.end() && still->second == alive) {
+                watch(socket, alive);
+            }
+        });
+    }
+
+    static int onTimer(CURLM *, long timeoutMs, void *user)
+    {
+        auto &self = *static_cast<impl *>(user);
+        self.m_timer.cancel();
+        if (timeoutMs >= 0 && !self.m_closing) {
+            self.m_timer.expires_after(std::chrono::milliseconds(timeoutMs));
+            self.m_timer.async_wait([&self](const std::error_code &failure) {
+                if (!failure) {
+                    self.act(CURL_SOCKET_TIMEOUT, 0);
+                }
+            });
+        }
+        return 0;
+    }
+
+    void act(curl_socket_t socket, int action)
+    {
+        int running = 0;
+        curl_multi_socket_action(m_multi, socket, action, &running);
+        collect();
+    }
+
+    void collect()
+    {
+        int waiting = 0;
+        while (const CURLMsg *message = curl_multi_info_read(m_multi, &waiting)) {
+            if (message->msg == CURLMSG_DONE) {
+                finish(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void finish(CURL *easy, CURLcode code)
+    {
+        transfer *raw = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
+        curl_multi_remove_handle(m_multi, easy);
+        const auto found = m_transfers.find(raw->id);
+        if (found == m_transfers.end()) {
+            return;
+        }
+        const std::shared_ptr<transfer> one = found->second;
+        m_transfers.erase(found);
+        if (code == CURLE_OK) {
+            reportStart(*one);
+            one->handle(http_finished{});
+            return;
+        }
+        const bool neverSent = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT;
+        one->handle(http_failed{{error_kind::ConnectionFailed, curl_easy_strerror(code), "check that the server there runs"}, neverSent});
+    }
+
+    asio::io_context &m_context;
+    asio::steady_timer m_timer;
+    CURLM *m_multi;
+    std::map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
+    std::map<http_call_id, std::shared_ptr<transfer>> m_transfers;
+    http_call_id m_next;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+    bool m_closing = false;
+};
+
+http_client::http_client(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{
+}
+
+http_client::~http_client() = default;
+
+http_call_id http_client::start(const http_call &call, handler handle)
+{
+    return m_impl->start(call, std::move(handle));
+}
+
+void http_client::cancel(http_call_id call)
+{
+    m_impl->cancel(call);
+}
+
+void http_client::setPaused(http_call_id call, bool paused)
+{
+    m_impl->setPaused(call, paused);
+}
+
+std::unique_ptr<http_client> http_client::create(asio::io_context &context)
+{
+    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)initialised;
+    return std::unique_ptr<http_client>(new http_client(std::make_unique<impl>(context)));
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/http_client.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "ends/http_types.h"
+
+#include <carawayloft/core/strong_type.h>
+#include <carawayloft/core/units.h>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace carawayloft {
+
+struct http_call {
+    std::string method = "GET";
+    std::string url;
+    http_headers headers;
+    std::string body;
+    duration timeout{0}; /**< For the whole call; zero for none. */
+};
+
+struct http_started {
+    std::uint32_t status = 0;
+    std::string contentType;
+};
+
+struct http_received {
+    std::string bytes;
+};
+
+struct http_finished {
+};
+
+struct http_failed {
+    error why;
+    bool neverSent = false; /**< The server cannot have seen the call. */
+};
+
+using http_event = std::variant<http_started, http_received, http_finished, http_failed>;
+using http_call_id = strong_type<struct http_call_id_tag, std::uint64_t>;
+
+/** HTTP calls by libcurl on its owner's io_context, without a thread of its own. */
+class http_client
+{
+public:
+    using handler = std::function<void(http_event)>;
+
+    static std::unique_ptr<http_client> create(asio::io_context &context);
+
+    ~http_client();
+
+    /** @p handle gets the events in order, on the owner's thread, and never before start() returns. */
+    http_call_id start(const http_call &call, handler handle);
+
+    /** Ends a call at once; nothing more is reported of it. */
+    void cancel(http_call_id call);
+
+    /** Stops or goes on taking the answer's bytes from the server. */
+    void setPaused(http_call_id call, bool paused);
+
+private:
+    class impl;
+
+    explicit http_client(std::unique_ptr<impl> implementation);
+
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/http_server.cpp
@@ -0,0 +1,315 @@
+#include "ends/http_server.h"
+
+#include "ends/frame_link.h"
+
+#include <restinio/all.hpp>
+
+#include <unordered_map>
+
+namespace carawayloft {
+
+/** Longest time for which an answer may stream. */
+static constexpr std::chrono::hours maxAnswerTime{24};
+
+/** Time that a caller has for sending a request, and that an idle connection stays open. */
+static constexpr std::chrono::seconds maxRequestTime{60};
+
+/** Time that a caller may leave bytes untaken before the connection is cut. */
+static constexpr std::chrono::minutes maxWriteTime{10};
+
+/** One more than the request in flight, so that the server keeps reading and sees a caller hang up. */
+static constexpr std::size_t pipelinedRequests = 2;
+
+namespace {
+
+/** Tells exchanges that their connection has closed. */
+class connection_watch
+{
+public:
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept
+    {
+        if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            return;
+        }
+        const auto [first, last] = m_waiting.equal_range(notice.connection_id());
+        std::vector<std::shared_ptr<std::function<void()>>> calls;
+        for (auto each = first; each != last; ++each) {
+            if (auto call = each->second.lock()) {
+                calls.push_back(std::move(call));
+            }
+        }
+        m_waiting.erase(first, last);
+        for (const auto &call : calls) {
+            if (*call) {
+                (*call)();
+            }
+        }
+    }
+
+    void watch(restinio::connection_id_t connection, const std::shared_ptr<std::function<void()>> &call)
+    {
+        m_waiting.emplace(connection, call);
+    }
+
+private:
+    std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<std::function<void()>>> m_waiting;
+};
+
+struct server_traits : restinio::default_single_thread_traits_t {
+    using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+    using connection_state_listener_t = connection_watch;
+};
+
+using raw_server = restinio::http_server_t<server_traits>;
+
+} // namespace
+
+class http_exchange::impl
+{
+public:
+    impl(restinio::request_handle_t request, const std::shared_ptr<connection_watch> &watch)
+        : m_request(std::move(request))
+        , m_hangUp(std::make_shared<std::function<void()>>())
+    {
+        watch->watch(m_request->connection_id(), m_hangUp);
+    }
+
+    ~impl()
+    {
+        if (m_request && !m_stream) {
+            respond({500, {}, {}});
+        }
+    }
+
+    void respond(const http_response &response)
+    {
+        if (!m_request) {
+            return;
+        }
+        *m_hangUp = nullptr;
+        auto out = m_request->create_response(statusLine(response.status));
+        addHeaders(out, response);
+        out.set_body(response.body);
+        out.done();
+        m_request.reset();
+    }
+
+    void startStream(const http_response &head)
+    {
+        if (!m_request) {
+            return;
+        }
+        m_connection = restinio::impl::access_req_connection(*m_request);
+        m_requestId = m_request->request_id();
+        m_stream = std::make_unique<stream>(m_request->create_response<restinio::chunked_output_t>(statusLine(head.status)));
+        addHeaders(*m_stream, head);
+        m_stream->flush();
+    }
+
+    void write(std::string bytes, std::function<void()> sent)
+    {
+        if (!m_stream) {
+            return;
+        }
+        m_stream->append_chunk(std::move(bytes));
+        m_stream->flush([sent = std::move(sent)](const auto &failure) {
+            if (!failure && sent) {
+                sent();
+            }
+        });
+    }
+
+    void finish()
+    {
+        if (m_stream) {
+            *m_hangUp = nullptr;
+            m_stream->done();
+            release();
+        }
+    }
+
+    void abort()
+    {
+        *m_hangUp = nullptr;
+        if (m_stream) {
+            // Ends the response without the last chunk, so that the caller sees that it is cut.
+            const restinio::response_output_flags_t lastParts{
+                restinio::response_parts_attr_t::final_parts, restinio::response_connection_attr_t::connection_close};
+            m_connection->write_response_parts(m_requestId, lastParts, restinio::write_group_t{restinio::writable_items_container_t{}});
+        }
+        release();
+    }
+
+    void onHangUp(std::function<void()> handle)
+    {
+        *m_hangUp = std::move(handle);
+    }
+
+private:
+    using stream = restinio::response_builder_t<restinio::chunked_output_t>;
+
+    static restinio::http_status_line_t statusLine(std::uint32_t status)
+    {
+        static const std::unordered_map<std::uint32_t, const char *> reasons{{200, "OK"},
+                                                                             {201, "Created"},
+                                                                             {202, "Accepted"},
+                                                                             {204, "No Content"},
+                                                                             {307, "Temporary Redirect"},
+                                                                             {400, "Bad Request"},
+                                                                             {401, "Unauthorized"},
+                                                                             {404, "Not Found"},
+                                                                             {409, "Conflict"},
+                                                                             {413, "Payload Too Large"},
+                                                                             {422, "Unprocessable Entity"},
+                                                                             {429, "Too Many Requests"},
+                                                                             {500, "Internal Server Error"},
+                                                                             {502, "Bad Gateway"},
+                                                                             {503, "Service Unavailable"},
+                                                                             {504, "Gateway Timeout"}};
+        const auto reason = reasons.find(status);
+        return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)), reason == reasons.end() ? "Status" : reason->second};
+    }
+
+    template<class Builder>
+    static void addHeaders(Builder &out, const http_response &response)
+    {
+        for (const auto &[name, value] : response.headers) {
+            out.append_header(name, value);
+        }
+        out.append_header(restinio::http_field::server, "carawayloft");
+    }
+
+    void release()
+    {
+        m_stream.reset();
+        m_connection.reset();
+        m_request.reset();
+    }
+
+    restinio::request_handle_t m_request;
+    std::shared_ptr<std::function<void()>> m_hangUp;
+    std::unique_ptr<stream> m_stream;
+    restinio::impl::connection_handle_t m_connection;
+    restinio::request_id_t m_requestId = 0;
+};
+
+class http_server::impl
+{
+public:
+    impl(asio::io_context &context, const asio::ip::tcp::endpoint &at, const http_limits &limits, handler handle)
+        : m_handle(std::move(handle))
+        , m_watch(std::make_shared<connection_watch>())
+        , m_server(restinio::external_io_context(context), [&](auto &settings) {
+            settings.address(at.address().to_string())
+                .port(at.port())
+                .buffer_size(limits.maxHeaderBytes)
+                .max_pipelined_requests(pipelinedRequests)
+                .handle_request_timeout(maxAnswerTime)
+                .read_next_http_message_timelimit(maxRequestTime)
+                .write_http_response_timelimit(maxWriteTime)
+                .connection_state_listener(m_watch)
+                .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                              .max_url_size(limits.maxHeaderBytes)
+                                              .max_field_name_size(limits.maxHeaderBytes)
+                                              .max_field_value_size(limits.maxHeaderBytes)
+                                              .max_field_count(limits.maxHeaders)
+                                              .max_body_size(limits.maxBodyBytes))
+                .request_handler([this](restinio::request_handle_t request) { return take(std::move(request)); });
+        })
+    {
+    }
+
+    void open()
+    {
+        m_server.open_sync();
+    }
+
+    void stopListening()
+    {
+        m_server.close_sync();
+    }
+
+private:
+    restinio::request_handling_status_t take(restinio::request_handle_t raw)
+    {
+        http_request request;
+        const auto &header = raw->header();
+        request.method = header.method().c_str();
+        request.path = std::string(header.path());
+        request.query = std::string(header.query());
+        header.for_each_field([&](const auto &each) { request.headers.emplace(each.name(), each.value()); });
+        request.body = raw->body();
+        m_handle(std::move(request), std::make_shared<http_exchange>(std::make_unique<http_exchange::impl>(std::move(raw), m_watch)));
+        return restinio::request_accepted();
+    }
+
+    handler m_handle;
+    std::shared_ptr<connection_watch> m_watch;
+    raw_server m_server;
+};
+
+http_exchange::http_exchange(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{
+}
+
+http_exchange::~http_exchange() = default;
+
+void http_exchange::respond(const http_response &response)
+{
+    m_impl->respond(response);
+}
+
+void http_exchange::startStream(const http_response &head)
+{
+    m_impl->startStream(head);
+}
+
+void http_exchange::write(std::string bytes, std::function<void()> sent)
+{
+    m_impl->write(std::move(bytes), std::move(sent));
+}
+
+void http_exchange::finish()
+{
+    m_impl->finish();
+}
+
+void http_exchange::abort()
+{
+    m_impl->abort();
+}
+
+void http_exchange::onHangUp(std::function<void()> handle)
+{
+    m_impl->onHangUp(std::move(handle));
+}
+
+http_server::http_server(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{
+}
+
+http_server::~http_server() = default;
+
+void http_server::stopListening()
+{
+    m_impl->stopListening();
+}
+
+result<std::unique_ptr<http_server>> http_server::create(asio::io_context &context, const endpoint &at, const http_limits &limits, handler handle)
+{
+    const auto address = parseEndpoint(at);
+    if (failed(address)) {
+        return errorOf(address);
+    }
+    try {
+        auto server = std::make_unique<impl>(context, valueOf(address), limits, std::move(handle));
+        server->open();
+        return std::unique_ptr<http_server>(new http_server(std::move(server)));
+    } catch (const std::exception &failure) {
+        return error{error_kind::InvalidSettings, "cannot listen at " + at.value() + ": " + failure.what(), "free the port or set another address"};
+    }
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/http_types.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <carawayloft/core/error.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace carawayloft {
+
+/** Orders header names without regard to case. */
+struct header_less {
+    bool operator()(const std::string &left, const std::string &right) const;
+};
+
+using http_headers = std::map<std::string, std::string, header_less>;
+
+struct http_request {
+    std::string method;
+    std::string path;
+    std::string query;
+    http_headers headers;
+    std::string body;
+
+    /** Value of the header, or an empty string. */
+    std::string header(const std::string &name) const;
+
+    /** Decoded value of a parameter of the query, or an empty string. */
+    std::string parameter(const std::string &name) const;
+};
+
+struct http_response {
+    std::uint32_t status = 200;
+    http_headers headers;
+    std::string body;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/metrics.cpp
@@ -0,0 +1,84 @@
+#include "ends/metrics.h"
+
+#include <boost/histogram.hpp>
+
+#include <sstream>
+
+namespace carawayloft {
+
+/** Buckets of latency histograms, from 0.1 ms to 100 s. */
+static constexpr unsigned latencyBuckets = 30;
+static constexpr double shortestLatencySeconds = 1e-4;
+static constexpr double longestLatencySeconds = 1e2;
+
+using latency_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+struct metrics::latency_histogram {
+    decltype(boost::histogram::make_histogram(std::declval<latency_axis>())) buckets
+        = boost::histogram::make_histogram(latency_axis(latencyBuckets, shortestLatencySeconds, longestLatencySeconds));
+    double sum = 0;
+    std::uint64_t total = 0;
+};
+
+metrics::metrics() = default;
+metrics::~metrics() = default;
+
+void metrics::count(const std::string &name, const std::string &labels, std::uint64_t amount)
+{
+    m_counters[name][labels] += amount;
+}
+
+void metrics::setGauge(const std::string &name, const std::string &labels, double value)
+{
+    m_gauges[name][labels] = value;
+}
+
+void metrics::observe(const std::string &name, std::chrono::nanoseconds latency)
+{
+    auto &histogram = m_histograms[name];
+    if (!histogram) {
+        histogram = std::make_unique<latency_histogram>();
+    }
+    const double seconds = std::chrono::duration<double>(latency).count();
+    histogram->buckets(std::max(seconds, shortestLatencySeconds));
+    histogram->sum += seconds;
+    ++histogram->total;
+}
+
+template<class Series>
+static void renderSeries(std::ostream &out, const std::string &type, const std::string &name, const Series &series)
+{
+    out << "# TYPE " << name << ' ' << type << '\n';
+    for (const auto &[labels, value] : series) {
+        out << name;
+        if (!labels.empty()) {
+            out << '{' << labels << '}';
+        }
+        out << ' ' << value << '\n';
+    }
+}
+
+std::string metrics::render() const
+{
+    std::ostringstream out;
+    for (const auto &[name, series] : m_counters) {
+        renderSeries(out, "counter", name, series);
+    }
+    for (const auto &[name, series] : m_gauges) {
+        renderSeries(out, "gauge", name, series);
+    }
+    for (const auto &[name, histogram] : m_histograms) {
+        out << "# TYPE " << name << " histogram\n";
+        double below = 0;
+        for (const auto &bucket : boost::histogram::indexed(histogram->buckets)) {
+            below += static_cast<double>(*bucket);
+            out << name << "_bucket{le=\"" << bucket.bin().upper() << "\"} " << below << '\n';
+        }
+        out << name << "_bucket{le=\"+Inf\"} " << histogram->total << '\n'
+            << name << "_sum " << histogram->sum << '\n'
+            << name << "_count " << histogram->total << '\n';
+    }
+    return out.str();
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/order_pipe/agreed_log.cpp
@@ -0,0 +1,140 @@
+#include <carawayloft/order/agreed_log.h>
+
+#include <algorithm>
+
+namespace carawayloft {
+
+result<agreed_log> agreed_log::create(const agreed_log_options &options, recovered_log recovered, time_point now)
+{
+    if (options.heartbeatPeriod * 3 > options.electionTimeout) {
+        return error{error_kind::InvalidSettings,
+                     "the election timeout is shorter than three heartbeat periods",
+                     "raise election_timeout_ms or lower heartbeat_period_ms"};
+    }
+    return agreed_log(options, std::move(recovered), now);
+}
+
+agreed_log::agreed_log(const agreed_log_options &options, recovered_log recovered, time_point now)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_now(now)
+    , m_promise(recovered.promise)
+    , m_snapshot(std::move(recovered.snapshot))
+    , m_entries(recovered.entries.begin(), recovered.entries.end())
+    , m_commit(m_snapshot.index)
+    , m_leaderHeardAt(now) // Whom it heard before a restart is not known: it votes for nobody yet.
+{
+    refreshMembers();
+    resetElectionTimer();
+}
+
+std::vector<agreed_log::output> agreed_log::step(const input &in, time_point now)
+{
+    m_now = now;
+    m_outputs.clear();
+    std::visit([this](const auto &each) { handle(each); }, in);
+    return std::move(m_outputs);
+}
+
+log_index agreed_log::lastIndex() const
+{
+    return log_index(m_snapshot.index.value() + m_entries.size());
+}
+
+void agreed_log::handle(const log_tick &)
+{
+    if (m_role == log_role::Leader) {
+        checkQuorum();
+        if (m_role == log_role::Leader && m_now >= m_heartbeatDue) {
+            promoteLearner();
+            broadcast(true);
+        }
+        return;
+    }
+    if (m_now >= m_electionDue && isVoter(m_options.self)) {
+        startElection(true, false);
+    }
+}
+
+void agreed_log::handle(const log_received &in)
+{
+    std::visit([&](const auto &each) { receive(in.from, each); }, in.message);
+}
+
+void agreed_log::handle(const log_proposal &in)
+{
+    if (m_role != log_role::Leader || m_transferTo.value() != 0) {
+        emit(token_failed{in.token, false});
+        return;
+    }
+    append(entry_kind::Command, in.payload, {}, in.token);
+    broadcast(false);
+    advanceCommit();
+}
+
+void agreed_log::handle(const log_read &in)
+{
+    if (m_role != log_role::Leader || !committedInOwnTerm()) {
+        emit(token_failed{in.token, false});
+        return;
+    }
+    if (holdsLeaderLease(m_now)) {
+        emit(read_ready{in.token});
+        return;
+    }
+    broadcast(true);
+    m_reads.push_back({in.token, m_round, m_commit});
+    confirmReads();
+}
+
+void agreed_log::handle(const log_transfer &)
+{
+    if (m_role != log_role::Leader) {
+        return;
+    }
+    const auto better = [this](const auto &left, const auto &right) {
+        return std::pair(isVoter(left.first), left.second.matched) < std::pair(isVoter(right.first), right.second.matched);
+    };
+    const auto best = std::max_element(m_progress.begin(), m_progress.end(), better);
+    if (best == m_progress.end() || !isVoter(best->first)) {
+        return;
+    }
+    m_transferTo = best->first;
+    m_transferDue = m_now + m_options.electionTimeout;
+    if (best->second.matched == lastIndex()) {
+        emit(send_log_message{m_transferTo, timeout_now{m_promise.term}});
+    } else {
+        sendAppend(m_transferTo, true);
+    }
+}
+
+void agreed_log::handle(const log_compact &in)
+{
+    if (in.index <= m_snapshot.index || in.index > m_commit) {
+        return;
+    }
+    log_snapshot snapshot{in.index, termAt(in.index), m_snapshot.members, in.state};
+    for (const log_entry &each : m_entries) {
+        if (each.kind == entry_kind::Membership && each.index <= in.index) {
+            snapshot.members = each.members;
+        }
+    }
+    m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(in.index.value() - m_snapshot.index.value()));
+    m_snapshot = std::move(snapshot);
+    emit(persist_snapshot{m_snapshot, {m_entries.begin(), m_entries.end()}});
+}
+
+log_term agreed_log::termAt(log_index index) const
+{
+    if (index == m_snapshot.index) {
+        return m_snapshot.term;
+    }
+    return index < m_snapshot.index || index > lastIndex() ? log_term() : entryAt(index).term;
+}
+
+const log_entry &agreed_log::entryAt(log_index index) const
+{
+    return m_entries[index.value() - m_snapshot.index.value() - 1];
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/order_pipe/agreed_log_election.cpp
@@ -0,0 +1,164 @@
+#include <carawayloft/order/agreed_log.h>
+
+#include <algorithm>
+
+namespace carawayloft {
+
+bool agreed_log::isVoter(replica_id replica) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&](const log_member &each) { return each.replica == replica && each.role == member_role::Voter; });
+}
+
+bool agreed_log::quorum(const std::set<replica_id> &replicas) const
+{
+    std::size_t voters = 0;
+    std::size_t counted = 0;
+    for (const log_member &each : m_members) {
+        if (each.role == member_role::Voter) {
+            ++voters;
+            counted += replicas.contains(each.replica) ? 1 : 0;
+        }
+    }
+    return counted * 2 > voters;
+}
+
+bool agreed_log::isUpToDate(log_index index, log_term term) const
+{
+    return std::pair(term, index) >= std::pair(termAt(lastIndex()), lastIndex());
+}
+
+bool agreed_log::heardFromLeaderLately() const
+{
+    return m_role == log_role::Leader || m_now < m_leaderHeardAt + m_options.electionTimeout;
+}
+
+void agreed_log::resetElectionTimer()
+{
+    std::uniform_int_distribution<duration::rep> spread(0, m_options.electionTimeout.count());
+    m_electionDue = m_now + m_options.electionTimeout + duration(spread(m_random));
+}
+
+void agreed_log::setPromise(log_term term, replica_id votedFor)
+{
+    const hard_state promise{term, votedFor};
+    if (promise == m_promise) {
+        return;
+    }
+    m_promise = promise;
+    emit(persist_promise{m_promise});
+}
+
+void agreed_log::setRole(log_role role, replica_id leader)
+{
+    if (m_role == role && m_leader == leader) {
+        return;
+    }
+    m_role = role;
+    m_leader = leader;
+    emit(role_changed{m_role, m_promise.term, m_leader});
+}
+
+void agreed_log::failWaiting()
+{
+    for (const auto &[index, token] : m_tokens) {
+        emit(token_failed{token, true});
+    }
+    for (const waiting_read &read : m_reads) {
+        emit(token_failed{read.token, false});
+    }
+    m_tokens.clear();
+    m_reads.clear();
+}
+
+void agreed_log::becomeFollower(log_term term, replica_id leader)
+{
+    if (m_role == log_role::Leader) {
+        resetElectionTimer();
+    }
+    if (term > m_promise.term) {
+        setPromise(term, replica_id());
+    }
+    m_transferTo = replica_id();
+    m_preVoting = false;
+    failWaiting();
+    setRole(log_role::Follower, leader);
+}
+
+void agreed_log::startElection(bool preVote, bool transfer)
+{
+    resetElectionTimer();
+    m_preVoting = preVote;
+    m_transferElection = transfer;
+    m_votes = {m_options.self};
+    if (!preVote) {
+        setPromise(next(m_promise.term), m_options.self);
+    }
+    setRole(log_role::Candidate, replica_id());
+    const log_term term = preVote ? next(m_promise.term) : m_promise.term;
+    for (const log_member &each : m_members) {
+        if (each.role == member_role::Voter && each.replica != m_options.self) {
+            emit(send_log_message{each.replica, vote_request{term, lastIndex(), termAt(lastIndex()), preVote, transfer}});
+        }
+    }
+    if (quorum(m_votes)) {
+        preVote ? startElection(false, transfer) : becomeLeader();
+    }
+}
+
+void agreed_log::becomeLeader()
+{
+    setRole(log_role::Leader, m_options.self);
+    m_progress.clear();
+    m_transferTo = replica_id();
+    append(entry_kind::Empty, {}, {}, proposal_token());
+    broadcast(true);
+    advanceCommit();
+}
+
+void agreed_log::receive(replica_id from, const vote_request &message)
+{
+    const bool ignores = !message.transfer && heardFromLeaderLately();
+    if (message.preVote) {
+        const bool grants = !ignores && message.term > m_promise.term && isUpToDate(message.lastIndex, message.lastTerm);
+        emit(send_log_message{from, vote_reply{grants ? message.term : m_promise.term, grants, true}});
+        return;
+    }
+    if (ignores) {
+        return;
+    }
+    if (message.term > m_promise.term) {
+        becomeFollower(message.term, replica_id());
+    }
+    const bool free = m_promise.votedFor.value() == 0 || m_promise.votedFor == from;
+    const bool grants = message.term == m_promise.term && free && isUpToDate(message.lastIndex, message.lastTerm);
+    if (grants) {
+        setPromise(m_promise.term, from);
+        resetElectionTimer();
+    }
+    emit(send_log_message{from, vote_reply{m_promise.term, grants, false}});
+}
+
+void agreed_log::receive(replica_id from, const vote_reply &message)
+{
+    if (message.term > m_promise.term && !message.granted) {
+        becomeFollower(message.term, replica_id());
+        return;
+    }
+    const log_term expected = m_preVoting ? next(m_promise.term) : m_promise.term;
+    if (m_role != log_role::Candidate || message.preVote != m_preVoting || !message.granted || message.term != expected) {
+        return;
+    }
+    m_votes.insert(from);
+    if (quorum(m_votes)) {
+        m_preVoting ? startElection(false, m_transferElection) : becomeLeader();
+    }
+}
+
+void agreed_log::receive(replica_id, const timeout_now &message)
+{
+    if (message.term == m_promise.term && m_role != log_role::Leader && isVoter(m_options.self)) {
+        startElection(false, true);
+    }
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/order_pipe/agreed_log_replication.cpp
@@ -0,0 +1,267 @@
+#include <carawayloft/order/agreed_log.h>
+
+#include <algorithm>
+
+namespace carawayloft {
+
+/** A snapshot that was not acknowledged after this many rounds is sent again. */
+static constexpr std::uint64_t snapshotResendRounds = 40;
+
+/** A leader's lease ends earlier than its followers' promises by one part in this many, for clock drift. */
+static constexpr int leaseMarginShare = 10;
+
+void agreed_log::append(entry_kind kind, std::vector<std::uint8_t> payload, std::vector<log_member> members, proposal_token token)
+{
+    log_entry entry{next(lastIndex()), m_promise.term, kind, std::move(payload), std::move(members)};
+    if (token.value() != 0) {
+        m_tokens.emplace(entry.index, token);
+    }
+    emit(persist_entries{{entry}});
+    m_entries.push_back(std::move(entry));
+    if (kind == entry_kind::Membership) {
+        refreshMembers();
+    }
+}
+
+void agreed_log::broadcast(bool heartbeat)
+{
+    if (heartbeat) {
+        ++m_round;
+        std::erase_if(m_roundSentAt, [this](const auto &each) { return m_now > each.second + m_options.electionTimeout; });
+        m_roundSentAt.emplace(m_round, m_now);
+        m_heartbeatDue = m_now + m_options.heartbeatPeriod;
+    }
+    for (const log_member &each : m_members) {
+        if (each.replica != m_options.self) {
+            sendAppend(each.replica, heartbeat);
+        }
+    }
+}
+
+void agreed_log::sendAppend(replica_id to, bool heartbeat)
+{
+    const auto [found, isNew] = m_progress.try_emplace(to);
+    peer_progress &progress = found->second;
+    if (isNew) {
+        progress.next = next(lastIndex());
+        progress.heardAt = m_now;
+    }
+    if (progress.next <= m_snapshot.index) {
+        sendSnapshot(to, progress);
+        return;
+    }
+    if (progress.probing && !heartbeat) {
+        return;
+    }
+    append_request message;
+    message.term = m_promise.term;
+    message.previousIndex = log_index(progress.next.value() - 1);
+    message.previousTerm = termAt(message.previousIndex);
+    message.commit = m_commit;
+    message.round = m_round;
+    std::size_t bytes = 0;
+    for (log_index at = progress.next; at <= lastIndex() && message.entries.size() < m_options.maxEntriesPerMessage && bytes < m_options.maxBytesPerMessage;
+         at = next(at)) {
+        message.entries.push_back(entryAt(at));
+        bytes += message.entries.back().payload.size();
+    }
+    if (!heartbeat && message.entries.empty()) {
+        return;
+    }
+    if (!progress.probing) {
+        progress.next = log_index(progress.next.value() + message.entries.size());
+    }
+    emit(send_log_message{to, std::move(message)});
+}
+
+void agreed_log::sendSnapshot(replica_id to, peer_progress &progress)
+{
+    if (progress.snapshotRound != 0 && m_round < progress.snapshotRound + snapshotResendRounds) {
+        return;
+    }
+    progress.snapshotRound = std::max<std::uint64_t>(m_round, 1);
+    emit(send_log_message{to, snapshot_request{m_promise.term, m_round, m_snapshot}});
+}
+
+void agreed_log::receive(replica_id from, const append_reply &message)
+{
+    if (message.term > m_promise.term) {
+        becomeFollower(message.term, replica_id());
+        return;
+    }
+    const auto found = m_progress.find(from);
+    if (m_role != log_role::Leader || message.term != m_promise.term || found == m_progress.end()) {
+        return;
+    }
+    peer_progress &progress = found->second;
+    progress.heardAt = m_now;
+    progress.roundHeard = std::max(progress.roundHeard, message.round);
+    progress.snapshotRound = 0;
+    if (!message.accepted) {
+        progress.probing = true;
+        progress.next = std::max(next(progress.matched), std::min(next(message.matched), next(lastIndex())));
+        sendAppend(from, true);
+        return;
+    }
+    progress.matched = std::max(progress.matched, message.matched);
+    progress.next = std::max(progress.next, next(progress.matched));
+    progress.probing = false;
+    confirmReads();
+    advanceCommit();
+    if (from == m_transferTo && progress.matched == lastIndex()) {
+        emit(send_log_message{from, timeout_now{m_promise.term}});
+    } else if (progress.next <= lastIndex()) {
+        sendAppend(from, false);
+    }
+}
+
+void agreed_log::advanceCommit()
+{
+    for (log_index at = lastIndex(); at > m_commit && termAt(at) == m_promise.term; at = log_index(at.value() - 1)) {
+        std::set<replica_id> holders{m_options.self};
+        for (const auto &[replica, progress] : m_progress) {
+            if (progress.matched >= at) {
+                holders.insert(replica);
+            }
+        }
+        if (quorum(holders)) {
+            commitTo(at);
+            return;
+        }
+    }
+}
+
+void agreed_log::commitTo(log_index index)
+{
+    while (m_commit < index) {
+        m_commit = next(m_commit);
+        const auto token = m_tokens.find(m_commit);
+        emit(entry_committed{entryAt(m_commit), token == m_tokens.end() ? proposal_token() : token->second});
+        if (token != m_tokens.end()) {
+            m_tokens.erase(token);
+        }
+    }
+    if (m_role == log_role::Leader && !isVoter(m_options.self) && !membershipPending()) {
+        becomeFollower(m_promise.term, replica_id());
+    }
+}
+
+void agreed_log::confirmReads()
+{
+    while (!m_reads.empty()) {
+        std::set<replica_id> heard{m_options.self};
+        for (const auto &[replica, progress] : m_progress) {
+            if (progress.roundHeard >= m_reads.front().round) {
+                heard.insert(replica);
+            }
+        }
+        if (!quorum(heard)) {
+            return;
+        }
+        emit(read_ready{m_reads.front().token});
+        m_reads.pop_front();
+    }
+}
+
+void agreed_log::checkQuorum()
+{
+    std::set<replica_id> heard{m_options.self};
+    for (const auto &[replica, progress] : m_progress) {
+        if (m_now < progress.heardAt + m_options.electionTimeout) {
+            heard.insert(replica);
+        }
+    }
+    if (!quorum(heard)) {
+        becomeFollower(m_promise.term, replica_id());
+    } else if (m_transferTo.value() != 0 && m_now >= m_transferDue) {
+        m_transferTo = replica_id();
+    }
+}
+
+bool agreed_log::holdsLeaderLease(time_point now) const
+{
+    if (m_role != log_role::Leader || m_transferTo.value() != 0 || !committedInOwnTerm()) {
+        return false;
+    }
+    const duration relied = m_options.electionTimeout - m_options.electionTimeout / leaseMarginShare;
+    std::set<replica_id> promising{m_options.self};
+    for (const auto &[replica, progress] : m_progress) {
+        const auto sent = m_roundSentAt.find(progress.roundHeard);
+        if (sent != m_roundSentAt.end() && now < sent->second + relied) {
+            promising.insert(replica);
+        }
+    }
+    return quorum(promising);
+}
+
+void agreed_log::receive(replica_id from, const append_request &message)
+{
+    if (message.term < m_promise.term) {
+        emit(send_log_message{from, append_reply{m_promise.term, false, lastIndex(), message.round}});
+        return;
+    }
+    if (message.term > m_promise.term || m_role != log_role::Follower || m_leader != from) {
+        becomeFollower(message.term, from);
+    }
+    m_leaderHeardAt = m_now;
+    resetElectionTimer();
+    appendFromLeader(message);
+}
+
+void agreed_log::appendFromLeader(const append_request &message)
+{
+    const bool beforeSnapshot = message.previousIndex < m_snapshot.index;
+    if (!beforeSnapshot && (message.previousIndex > lastIndex() || termAt(message.previousIndex) != message.previousTerm)) {
+        const log_index hint = std::min(lastIndex(), log_index(message.previousIndex.value() - 1));
+        emit(send_log_message{m_leader, append_reply{m_promise.term, false, std::max(hint, m_commit), message.round}});
+        return;
+    }
+    const log_index matched = std::max(storeEntries(message.entries), message.previousIndex);
+    emit(send_log_message{m_leader, append_reply{m_promise.term, true, std::max(matched, m_snapshot.index), message.round}});
+    commitTo(std::max(m_commit, std::min(message.commit, matched)));
+}
+
+log_index agreed_log::storeEntries(const std::vector<log_entry> &entries)
+{
+    std::vector<log_entry> fresh;
+    for (const log_entry &each : entries) {
+        if (each.index <= m_snapshot.index || (fresh.empty() && termAt(each.index) == each.term)) {
+            continue;
+        }
+        if (fresh.empty() && each.index <= lastIndex()) {
+            m_entries.resize(each.index.value() - m_snapshot.index.value() - 1);
+        }
+        fresh.push_back(each);
+        m_entries.push_back(each);
+    }
+    if (!fresh.empty()) {
+        refreshMembers();
+        emit(persist_entries{std::move(fresh)});
+    }
+    return entries.empty() ? log_index() : entries.back().index;
+}
+
+void agreed_log::receive(replica_id from, const snapshot_request &message)
+{
+    if (message.term < m_promise.term) {
+        emit(send_log_message{from, append_reply{m_promise.term, false, lastIndex(), message.round}});
+        return;
+    }
+    becomeFollower(message.term, from);
+    m_leaderHeardAt = m_now;
+    resetElectionTimer();
+    if (message.snapshot.index > m_commit) {
+        const bool keepsRest = message.snapshot.index < lastIndex() && termAt(message.snapshot.index) == message.snapshot.term;
+        const auto covered = keepsRest ? static_cast<std::ptrdiff_t>(message.snapshot.index.value() - m_snapshot.index.value())
+                                       : static_cast<std::ptrdiff_t>(m_entries.size());
+        m_entries.erase(m_entries.begin(), m_entries.begin() + covered);
+        m_snapshot = message.snapshot;
+        m_commit = m_snapshot.index;
+        refreshMembers();
+        emit(persist_snapshot{m_snapshot, {m_entries.begin(), m_entries.end()}});
+        emit(snapshot_installed{m_snapshot});
+    }
+    emit(send_log_message{from, append_reply{m_promise.term, true, m_commit, message.round}});
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/order_pipe/fleet_state.cpp
@@ -0,0 +1,377 @@
+#include <carawayloft/order/fleet_state.h>
+
+#include <algorithm>
+#include <set>
+
+namespace carawayloft {
+
+/** Answers remembered for resends; the oldest are forgotten first. */
+static constexpr std::size_t maxRememberedAnswers = 10'000;
+
+static status refuse(error_kind kind, std::string what, std::string remedy)
+{
+    return error{kind, std::move(what), std::move(remedy)};
+}
+
+template<class Key, class Record>
+static std::vector<Record> valuesOf(const std::map<Key, Record> &records)
+{
+    std::vector<Record> values;
+    values.reserve(records.size());
+    for (const auto &[key, record] : records) {
+        values.push_back(record);
+    }
+    return values;
+}
+
+result<revision> fleet_state::apply(const fleet_command &command, revision at)
+{
+    if (const auto known = m_answers.find(command.command); !command.command.value().empty() && known != m_answers.end()) {
+        m_at = at;
+        if (known->second.refused != 0) {
+            return error{static_cast<error_kind>(known->second.kind), known->second.what, known->second.remedy};
+        }
+        return known->second.at;
+    }
+    status outcome = checkSeen(command);
+    if (!failed(outcome)) {
+        outcome = std::visit([&](const auto &each) { return change(each, at); }, command.change);
+    }
+    m_at = at;
+    command_answer answer{command.command, command.author, at, 0, 0, {}, {}};
+    if (failed(outcome)) {
+        const error &why = errorOf(outcome);
+        answer.refused = 1;
+        answer.kind = static_cast<std::uint8_t>(why.kind);
+        answer.what = why.what;
+        answer.remedy = why.remedy;
+    } else if (!command.command.value().empty()) {
+        m_lastOperatorChange = at;
+        m_lastAuthor = command.author;
+    }
+    if (!command.command.value().empty()) {
+        remember(std::move(answer));
+    }
+    return failed(outcome) ? result<revision>(errorOf(outcome)) : result<revision>(at);
+}
+
+status fleet_state::checkSeen(const fleet_command &command) const
+{
+    if (command.seen.value() == 0 || command.seen >= m_lastOperatorChange) {
+        return {};
+    }
+    return refuse(error_kind::RevisionConflict,
+                  "revision " + std::to_string(command.seen.value()) + " was overtaken by a change of " + m_lastAuthor + " at revision "
+                      + std::to_string(m_lastOperatorChange.value()),
+                  "read the state again and repeat the command against it");
+}
+
+void fleet_state::remember(command_answer answer)
+{
+    if (m_answerOrder.size() >= maxRememberedAnswers) {
+        m_answers.erase(m_answerOrder.front());
+        m_answerOrder.pop_front();
+    }
+    m_answerOrder.push_back(answer.command);
+    m_answers.emplace(answer.command, std::move(answer));
+}
+
+status fleet_state::change(const put_zone &change, revision)
+{
+    const bool known = m_zones.contains(change.zone.zone)
+                       || std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto &each) { return each.second.zone == change.zone.zone; });
+    if (!known && change.zone.state != zone_state::Arriving && change.zone.state != zone_state::Serving) {
+        return refuse(error_kind::UnknownZone,
+                      "availability zone '" + change.zone.zone.value() + "' is not known",
+                      "list the zones with 'carawayloft zones', or declare it as arriving first");
+    }
+    m_zones.insert_or_assign(change.zone.zone, change.zone);
+    return {};
+}
+
+status fleet_state::change(const put_host &change, revision)
+{
+    m_hosts.insert_or_assign(change.host.host, change.host);
+    m_zones.try_emplace(change.host.zone, zone_record{change.host.zone, zone_state::Serving});
+    return {};
+}
+
+status fleet_state::change(const remove_host &change, revision)
+{
+    if (const group_record *group = groupOf(change.host)) {
+        return refuse(error_kind::HostAlreadyAssigned,
+                      "host '" + change.host.value() + "' belongs to group " + std::to_string(group->group.value()),
+                      "dissolve the group or replace the member first");
+    }
+    m_hosts.erase(change.host);
+    return {};
+}
+
+status fleet_state::change(const put_service &change, revision)
+{
+    if (change.service.hostsPerGroup == 0) {
+        return refuse(
+            error_kind::InvalidRequest, "a group of service '" + change.service.service.value() + "' has no host", "set hosts_per_group to 1 or more");
+    }
+    m_services.insert_or_assign(change.service.service, change.service);
+    return {};
+}
+
+status fleet_state::change(const put_account &change, revision)
+{
+    if (change.account.weight == 0) {
+        return refuse(error_kind::InvalidRequest, "client account '" + change.account.account.value() + "' has weight 0", "set weight to 1 or more");
+    }
+    m_accounts.insert_or_assign(change.account.account, change.account);
+    return {};
+}
+
+status fleet_state::checkFree(const host_id &host, const service_id &service) const
+{
+    const host_record *record = this->host(host);
+    if (record == nullptr || record->service != service) {
+        return refuse(error_kind::UnknownHost,
+                      "host '" + host.value() + "' does not announce service '" + service.value() + "'",
+                      "list the hosts with 'carawayloft status'");
+    }
+    if (const group_record *group = groupOf(host)) {
+        return refuse(error_kind::HostAlreadyAssigned,
+                      "host '" + host.value() + "' belongs to group " + std::to_string(group->group.value()),
+                      "choose a host that belongs to no group");
+    }
+    return {};
+}
+
+status fleet_state::change(const create_group &change, revision at)
+{
+    const auto service = m_services.find(change.service);
+    if (service == m_services.end()) {
+        return refuse(error_kind::UnknownService, "service '" + change.service.value() + "' is not known", "declare it with 'carawayloft services put'");
+    }
+    const std::set<host_id> distinct(change.hosts.begin(), change.hosts.end());
+    if (distinct.size() != change.hosts.size() || change.hosts.size() != service->second.hostsPerGroup) {
+        return refuse(error_kind::InvalidRequest,
+                      "a group of '" + change.service.value() + "' has " + std::to_string(service->second.hostsPerGroup) + " different hosts",
+                      "name as many different hosts");
+    }
+    for (const host_id &host : change.hosts) {
+        if (status free = checkFree(host, change.service); failed(free)) {
+            return free;
+        }
+    }
+    const group_id group(at.value());
+    m_groups.emplace(group, group_record{group, group_epoch(at.value()), change.service, change.hosts, group_state::Active, at});
+    for (const host_id &host : change.hosts) {
+        m_assignments.emplace(host, group);
+    }
+    return {};
+}
+
+result<group_record *> fleet_state::findGroup(group_id group, group_epoch epoch)
+{
+    const auto found = m_groups.find(group);
+    if (found == m_groups.end()) {
+        return error{error_kind::UnknownGroup, "group " + std::to_string(group.value()) + " does not exist", "list the groups with 'carawayloft groups'"};
+    }
+    if (found->second.epoch != epoch) {
+        return error{error_kind::RevisionConflict,
+                     "group " + std::to_string(group.value()) + " is in epoch " + std::to_string(found->second.epoch.value()),
+                     "read the group again and repeat the change against its epoch"};
+    }
+    return &found->second;
+}
+
+status fleet_state::change(const replace_member &change, revision at)
+{
+    const result<group_record *> found = findGroup(change.group, change.epoch);
+    if (failed(found)) {
+        return errorOf(found);
+    }
+    group_record &group = *valueOf(found);
+    const auto place = std::find(group.hosts.begin(), group.hosts.end(), change.leaving);
+    if (place == group.hosts.end()) {
+        return refuse(error_kind::UnknownHost, "host '" + change.leaving.value() + "' is no member of the group", "list the groups with 'carawayloft groups'");
+    }
+    if (status free = checkFree(change.joining, group.service); failed(free)) {
+        return free;
+    }
+    *place = change.joining;
+    group.epoch = group_epoch(at.value());
+    group.changedAt = at;
+    m_assignments.erase(change.leaving);
+    m_assignments.emplace(change.joining, change.group);
+    return {};
+}
+
+status fleet_state::change(const drain_group &change, revision at)
+{
+    const result<group_record *> found = findGroup(change.group, change.epoch);
+    if (failed(found)) {
+        return errorOf(found);
+    }
+    valueOf(found)->state = group_state::Draining;
+    valueOf(found)->changedAt = at;
+    return {};
+}
+
+status fleet_state::change(const dissolve_group &change, revision)
+{
+    const result<group_record *> found = findGroup(change.group, change.epoch);
+    if (failed(found)) {
+        return errorOf(found);
+    }
+    for (const host_id &host : valueOf(found)->hosts) {
+        m_assignments.erase(host);
+    }
+    m_groups.erase(change.group);
+    return {};
+}
+
+status fleet_state::change(const propose_plan &change, revision at)
+{
+    plan_record plan = change.plan;
+    plan.plan = plan_id(at.value());
+    plan.state = plan_state::Proposed;
+    plan.nextStep = 0;
+    m_plans.emplace(plan.plan, std::move(plan));
+    return {};
+}
+
+result<plan_record *> fleet_state::findPlan(plan_id plan)
+{
+    const auto found = m_plans.find(plan);
+    if (found == m_plans.end()) {
+        return error{error_kind::UnknownPlan, "plan " + std::to_string(plan.value()) + " does not exist", "list the plans with 'carawayloft plan list'"};
+    }
+    return &found->second;
+}
+
+status fleet_state::change(const confirm_plan &change, revision)
+{
+    const result<plan_record *> found = findPlan(change.plan);
+    if (failed(found)) {
+        return errorOf(found);
+    }
+    plan_record &plan = *valueOf(found);
+    if (plan.state != plan_state::Proposed) {
+        return refuse(error_kind::PlanConflict, "plan " + std::to_string(plan.plan.value()) + " is no longer a proposal", "state the intent again");
+    }
+    if (m_lastOperatorChange > revision(plan.plan.value())) {
+        return refuse(error_kind::PlanConflict,
+                      "plan " + std::to_string(plan.plan.value()) + " was computed before the change of " + m_lastAuthor + " at revision "
+                          + std::to_string(m_lastOperatorChange.value()),
+                      "state the intent again to get a plan for the present state");
+    }
+    const auto active = std::find_if(m_plans.begin(), m_plans.end(), [](const auto &each) { return each.second.state == plan_state::Confirmed; });
+    if (active != m_plans.end()) {
+        return refuse(error_kind::PlanConflict,
+                      "plan " + std::to_string(active->first.value()) + " is being carried out",
+                      "wait for it or cancel it with 'carawayloft plan cancel'");
+    }
+    plan.state = plan_state::Confirmed;
+    return {};
+}
+
+status fleet_state::change(const cancel_plan &change, revision)
+{
+    const result<plan_record *> found = findPlan(change.plan);
+    if (failed(found)) {
+        return errorOf(found);
+    }
+    if (valueOf(found)->state == plan_state::Done) {
+        return refuse(error_kind::PlanConflict, "plan " + std::to_string(change.plan.value()) + " is done", "use 'carawayloft zone back' to undo it");
+    }
+    valueOf(found)->state = plan_state::Cancelled;
+    return {};
+}
+
+status fleet_state::change(const advance_plan &change, revision)
+{
+    const result<plan_record *> found = findPlan(change.plan);
+    if (failed(found)) {
+        return errorOf(found);
+    }
+    plan_record &plan = *valueOf(found);
+    if (plan.state != plan_state::Confirmed || plan.nextStep != change.step) {
+        return {};
+    }
+    ++plan.nextStep;
+    if (plan.nextStep >= plan.steps.size()) {
+        plan.state = plan_state::Done;
+    }
+    return {};
+}
+
+bool fleet_state::restore(const fleet_snapshot &snapshot)
+{
+    if (snapshot.at < m_at) {
+        return false;
+    }
+    *this = fleet_state();
+    m_at = snapshot.at;
+    m_lastOperatorChange = snapshot.lastOperatorChange;
+    m_lastAuthor = snapshot.lastAuthor;
+    for (const zone_record &each : snapshot.zones) {
+        m_zones.emplace(each.zone, each);
+    }
+    for (const host_record &each : snapshot.hosts) {
+        m_hosts.emplace(each.host, each);
+    }
+    for (const group_record &each : snapshot.groups) {
+        m_groups.emplace(each.group, each);
+        for (const host_id &host : each.hosts) {
+            m_assignments.emplace(host, each.group);
+        }
+    }
+    for (const service_record &each : snapshot.services) {
+        m_services.emplace(each.service, each);
+    }
+    for (const account_record &each : snapshot.accounts) {
+        m_accounts.emplace(each.account, each);
+    }
+    for (const plan_record &each : snapshot.plans) {
+        m_plans.emplace(each.plan, each);
+    }
+    for (const command_answer &each : snapshot.answers) {
+        remember(each);
+    }
+    return true;
+}
+
+fleet_snapshot fleet_state::snapshot() const
+{
+    fleet_snapshot snapshot{m_at,
+                            valuesOf(m_zones),
+                            valuesOf(m_hosts),
+                            valuesOf(m_groups),
+                            valuesOf(m_services),
+                            valuesOf(m_accounts),
+                            valuesOf(m_plans),
+                            {},
+                            m_lastOperatorChange,
+                            m_lastAuthor};
+    for (const command_id &each : m_answerOrder) {
+        snapshot.answers.push_back(m_answers.at(each));
+    }
+    return snapshot;
+}
+
+const group_record *fleet_state::groupOf(const host_id &host) const
+{
+    const auto assigned = m_assignments.find(host);
+    return assigned == m_assignments.end() ? nullptr : &m_groups.at(assigned->second);
+}
+
+const host_record *fleet_state::host(const host_id &host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+bool fleet_state::acceptsWork(const availability_zone_id &zone) const
+{
+    const auto found = m_zones.find(zone);
+    return found == m_zones.end() || found->second.state == zone_state::Serving || found->second.state == zone_state::Arriving;
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/order_pipe/leader_finder.cpp
@@ -0,0 +1,65 @@
+#include <carawayloft/order/leader_finder.h>
+
+namespace carawayloft {
+
+static constexpr duration askPeriod{1'000};
+static constexpr duration silenceToLeave{3'000};
+static constexpr duration reconnectDelay{200};
+
+leader_finder::leader_finder(std::vector<endpoint> replicas)
+    : m_replicas(std::move(replicas))
+{
+}
+
+std::vector<leader_finder::output> leader_finder::connect(const endpoint &replica, time_point now)
+{
+    m_connecting = true;
+    m_open = false;
+    m_silentSince = now;
+    return {connect_to_control{replica}};
+}
+
+std::vector<leader_finder::output> leader_finder::connectNext(time_point now)
+{
+    return connect(m_replicas[m_turn++ % m_replicas.size()], now);
+}
+
+std::vector<leader_finder::output> leader_finder::step(const input &in, time_point now)
+{
+    if (std::holds_alternative<leader_heard>(in)) {
+        m_silentSince = now;
+        return {};
+    }
+    if (std::holds_alternative<control_opened>(in)) {
+        m_open = true;
+        m_silentSince = now;
+        m_askDue = now + askPeriod;
+        return {ask_control{}};
+    }
+    if (std::holds_alternative<control_closed>(in)) {
+        m_connecting = m_open = false;
+        m_connectDue = now + reconnectDelay;
+        return {};
+    }
+    if (const auto *elsewhere = std::get_if<leader_is_elsewhere>(&in)) {
+        if (!elsewhere->leader.value().empty()) {
+            return connect(elsewhere->leader, now);
+        }
+        m_connecting = m_open = false;
+        m_connectDue = now + reconnectDelay;
+        return {};
+    }
+    if (!m_connecting) {
+        return now >= m_connectDue ? connectNext(now) : std::vector<output>();
+    }
+    if (now >= m_silentSince + silenceToLeave) {
+        return connectNext(now);
+    }
+    if (m_open && now >= m_askDue) {
+        m_askDue = now + askPeriod;
+        return {ask_control{}};
+    }
+    return {};
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/order_pipe/order_pipe.cpp
@@ -0,0 +1,234 @@
+#include <carawayloft/order/order_pipe.h>
+
+#include <carawayloft/core/overloaded.h>
+
+namespace carawayloft {
+
+/** Time between two looks of the placer at the fleet. */
+static constexpr duration placePeriod{250};
+
+/** Time for which a stopping leader waits for another one. */
+static constexpr duration handOverTime{2'000};
+
+order_pipe::order_pipe(order_pipe_options options, agreed_log log)
+    : m_options(options)
+    , m_log(std::move(log))
+    , m_placer(options.placement)
+{
+}
+
+result<order_pipe> order_pipe::create(order_pipe_options options, agreed_log log, const log_snapshot &recovered)
+{
+    order_pipe pipe(options, std::move(log));
+    if (recovered.index.value() != 0) {
+        const std::optional<machine_snapshot> snapshot = options.codec.decodeSnapshot(recovered.state);
+        if (!snapshot) {
+            return error{error_kind::DiskDamaged,
+                         "the snapshot at index " + std::to_string(recovered.index.value()) + " cannot be read",
+                         "remove this replica's data folder and start it again; it rejoins with a copy from the others"};
+        }
+        pipe.m_fleet.restore(snapshot->fleet);
+        pipe.m_claims.restore(snapshot->claims);
+        pipe.m_applied = recovered.index;
+    }
+    return pipe;
+}
+
+std::vector<order_pipe::output> order_pipe::step(const input &in, time_point now)
+{
+    m_now = now;
+    m_out.clear();
+    std::visit([this](const auto &each) { take(each); }, in);
+    if (m_stopping && !m_drainedReported && (!leads() || m_now >= m_stopBefore)) {
+        m_drainedReported = true;
+        emit(control_drained{});
+    }
+    return std::move(m_out);
+}
+
+void order_pipe::take(const control_tick &in)
+{
+    m_wallNow = in.wallNow;
+    runLog(log_tick{});
+    if (leads() && m_now >= m_placeDue) {
+        m_placeDue = m_now + placePeriod;
+        place();
+    }
+    compact();
+}
+
+void order_pipe::take(const replica_message &in)
+{
+    if (in.traffic.to == m_options.self) {
+        runLog(log_received{in.traffic.from, in.traffic.message});
+    }
+}
+
+void order_pipe::take(const link_connected &)
+{
+}
+
+void order_pipe::take(const link_lost &in)
+{
+    runPublisher(subscriber_left{in.link});
+}
+
+void order_pipe::take(const link_message &in)
+{
+    std::visit([&](const auto &message) { fromLink(in.link, message); }, in.message);
+}
+
+void order_pipe::take(const operator_change &in)
+{
+    const auto *zone = std::get_if<put_zone>(&in.command.change);
+    if (zone != nullptr && zone->zone.state == zone_state::Out && !in.force) {
+        if (status left = checkServiceLeft(zone->zone.zone, {}, m_fleet); failed(left)) {
+            emit(operator_answered{in.token, errorOf(left), false});
+            return;
+        }
+    }
+    propose(in.command, in.token);
+}
+
+void order_pipe::take(const operator_intent &in)
+{
+    const result<plan_record> plan = makePlan(in.intent, m_fleet, m_options.costs, m_wallNow);
+    if (failed(plan)) {
+        emit(operator_answered{in.token, errorOf(plan), false});
+        return;
+    }
+    propose(fleet_command{in.command, in.author, in.seen, propose_plan{valueOf(plan)}}, in.token);
+}
+
+void order_pipe::take(const operator_settlement &in)
+{
+    close_claim claim = in.claim;
+    claim.at = m_wallNow;
+    propose(claim, in.token);
+}
+
+void order_pipe::take(const operator_read &in)
+{
+    read(in.token);
+}
+
+void order_pipe::take(const control_stop &)
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_stopBefore = m_now + handOverTime;
+    runLog(log_transfer{});
+}
+
+void order_pipe::redirect(link_id link)
+{
+    endpoint leader;
+    for (const log_member &each : m_log.members()) {
+        if (each.replica == m_log.leader()) {
+            leader = each.frames;
+        }
+    }
+    emit(send_to_link{link, not_leader{leader}});
+}
+
+void order_pipe::fromLink(link_id link, const subscribe &message)
+{
+    read(subscriber_start{link, message.from});
+}
+
+void order_pipe::fromLink(link_id link, const confirm_revision &message)
+{
+    runPublisher(subscriber_confirmed{link, message.at});
+}
+
+void order_pipe::fromLink(link_id link, const lease_renewal &message)
+{
+    if (!leads()) {
+        redirect(link);
+        return;
+    }
+    for (const lease_grant &grant : m_leases.step(renewal_received{message, m_fleet, m_log.holdsLeaderLease(m_now)}, m_now)) {
+        emit(send_to_link{link, grant});
+    }
+}
+
+void order_pipe::fromLink(link_id link, const announce_host &message)
+{
+    if (!leads()) {
+        redirect(link);
+        return;
+    }
+    propose(fleet_command{{}, "agent " + message.host.host.value(), {}, put_host{message.host}}, nobody{});
+}
+
+void order_pipe::fromLink(link_id link, const open_claim_call &message)
+{
+    open_claim claim = message.claim;
+    claim.at = m_wallNow;
+    propose(claim, claim_caller{link, message.call});
+}
+
+void order_pipe::fromLink(link_id link, const close_claim_call &message)
+{
+    close_claim claim = message.claim;
+    claim.at = m_wallNow;
+    claim.settledBy.clear();
+    propose(claim, claim_caller{link, message.call});
+}
+
+void order_pipe::fromLink(link_id, const join_request &message)
+{
+    runLog(log_join{message.member});
+}
+
+void order_pipe::propose(const log_payload &payload, waiter who)
+{
+    const proposal_token token(m_nextToken++);
+    m_waiters.emplace(token, std::move(who));
+    runLog(log_proposal{token, m_options.codec.encodePayload(payload)});
+}
+
+void order_pipe::read(waiter who)
+{
+    const proposal_token token(m_nextToken++);
+    m_waiters.emplace(token, std::move(who));
+    runLog(log_read{token});
+}
+
+std::optional<order_pipe::waiter> order_pipe::takeWaiter(proposal_token token)
+{
+    const auto found = m_waiters.find(token);
+    if (found == m_waiters.end()) {
+        return std::nullopt;
+    }
+    std::optional<waiter> who = std::move(found->second);
+    m_waiters.erase(found);
+    return who;
+}
+
+void order_pipe::place()
+{
+    const fleet_view view{m_fleet, m_leases};
+    m_measures.step(view, m_now);
+    // Decisions are taken from the applied state, so the last ones must be in it first.
+    if (m_ownChanges > 0 || !m_log.holdsLeaderLease(m_now)) {
+        return;
+    }
+    std::vector<placement_decision> decisions = m_plans.step(view, m_now);
+    for (const placer::output &each : m_placer.step(view, m_now)) {
+        std::visit(overloaded{
+                       [&](const placement_decision &decision) { decisions.push_back(decision); },
+                       [&](const hosts_stranded &stranded) { emit(stranded); },
+                   },
+                   each);
+    }
+    for (const placement_decision &each : decisions) {
+        ++m_ownChanges;
+        emit(placement_proposed{each});
+        propose(fleet_command{{}, "placement", {}, each.change}, own_change{});
+    }
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/order_pipe/order_pipe_apply.cpp
@@ -0,0 +1,170 @@
+#include <carawayloft/order/order_pipe.h>
+
+#include <carawayloft/core/overloaded.h>
+
+namespace carawayloft {
+
+static error notLeading()
+{
+    return {error_kind::NotLeader, "this control replica does not lead", "send the command again; the tool finds the leader"};
+}
+
+void order_pipe::runLog(const agreed_log_input &in)
+{
+    for (const agreed_log_output &each : m_log.step(in, m_now)) {
+        std::visit([this](const auto &out) { handle(out); }, each);
+    }
+}
+
+void order_pipe::handle(const send_log_message &out)
+{
+    emit(send_to_replica{{log_id(), m_options.self, out.to, out.message}});
+}
+
+void order_pipe::handle(const entry_committed &out)
+{
+    m_applied = out.entry.index;
+    if (out.entry.kind != entry_kind::Command) {
+        return;
+    }
+    const std::optional<waiter> who = takeWaiter(out.token);
+    const std::optional<log_payload> payload = m_options.codec.decodePayload(out.entry.payload);
+    if (!payload) {
+        return;
+    }
+    std::visit([&](const auto &command) { apply(command, out.entry.index, who); }, *payload);
+}
+
+void order_pipe::handle(const snapshot_installed &out)
+{
+    m_applied = out.snapshot.index;
+    if (const std::optional<machine_snapshot> snapshot = m_options.codec.decodeSnapshot(out.snapshot.state)) {
+        m_fleet.restore(snapshot->fleet);
+        m_claims.restore(snapshot->claims);
+    }
+}
+
+void order_pipe::handle(const read_ready &out)
+{
+    const std::optional<waiter> who = takeWaiter(out.token);
+    if (!who) {
+        return;
+    }
+    std::visit(overloaded{
+                   [&](const subscriber_start &start) {
+                       runPublisher(subscriber_joined{start.link, start.from, m_fleet});
+                   },
+                   [&](const operator_token &token) {
+                       emit(operator_answered{token, m_fleet.at(), false});
+                   },
+                   [](const auto &) {},
+               },
+               *who);
+}
+
+void order_pipe::handle(const token_failed &out)
+{
+    const std::optional<waiter> who = takeWaiter(out.token);
+    if (!who) {
+        return;
+    }
+    std::visit(overloaded{
+                   [](const nobody &) {},
+                   [&](const own_change &) { m_ownChanges -= m_ownChanges > 0 ? 1 : 0; },
+                   [&](const claim_caller &caller) {
+                       emit(send_to_link{caller.link, claim_call_reply{caller.call, false, {}}});
+                       redirect(caller.link);
+                   },
+                   [&](const subscriber_start &start) { redirect(start.link); },
+                   [&](const operator_token &token) {
+                       emit(operator_answered{token, notLeading(), out.mayCommit});
+                   },
+               },
+               *who);
+}
+
+void order_pipe::handle(const role_changed &out)
+{
+    emit(out);
+    m_ownChanges = 0;
+    if (out.role == log_role::Leader) {
+        m_leases.step(leading_began{}, m_now);
+        m_measures = measures();
+    } else {
+        runPublisher(publishing_ended{});
+    }
+}
+
+void order_pipe::apply(const fleet_command &command, log_index at, const std::optional<waiter> &who)
+{
+    const revision before = m_fleet.at();
+    const revision now(at.value());
+    const result<revision> outcome = m_fleet.apply(command, now);
+    emit(change_applied{now, command, outcome});
+    runPublisher(change_agreed{publish_change{before, now, command}});
+    if (!who) {
+        return;
+    }
+    if (const auto *token = std::get_if<operator_token>(&*who)) {
+        emit(operator_answered{*token, outcome, false});
+    } else if (std::holds_alternative<own_change>(*who)) {
+        m_ownChanges -= m_ownChanges > 0 ? 1 : 0;
+    }
+}
+
+void order_pipe::apply(const open_claim &claim, log_index, const std::optional<waiter> &who)
+{
+    answerClaim(who, m_claims.apply(claim));
+}
+
+void order_pipe::apply(const close_claim &claim, log_index at, const std::optional<waiter> &who)
+{
+    const claim_reply reply = m_claims.apply(claim);
+    const auto *token = who ? std::get_if<operator_token>(&*who) : nullptr;
+    if (token == nullptr) {
+        answerClaim(who, reply);
+    } else if (reply.verdict == claim_verdict::Closed) {
+        emit(operator_answered{*token, revision(at.value()), false});
+    } else {
+        emit(operator_answered{
+            *token, error{error_kind::UnknownClaim, "the claim is not one whose outcome is unknown", "list those with 'carawayloft claims list'"}, false});
+    }
+}
+
+void order_pipe::answerClaim(const std::optional<waiter> &who, const claim_reply &reply)
+{
+    if (!who) {
+        return;
+    }
+    if (const auto *caller = std::get_if<claim_caller>(&*who)) {
+        emit(send_to_link{caller->link, claim_call_reply{caller->call, true, reply}});
+    }
+}
+
+void order_pipe::runPublisher(const publisher_input &in)
+{
+    for (const publisher_output &each : m_publisher.step(in, m_now)) {
+        std::visit(overloaded{
+                       [&](const publish_to &out) {
+                           std::visit([&](const auto &message) { emit(send_to_link{out.link, message}); }, out.message);
+                       },
+                       [&](const publication_complete &out) {
+                           emit(change_in_force{out.at, out.after, out.subscribers});
+                       },
+                   },
+                   each);
+    }
+}
+
+void order_pipe::compact()
+{
+    if (m_applied.value() < m_log.snapshotIndex().value() + m_options.entriesToCompact) {
+        return;
+    }
+    std::vector<std::uint8_t> state = m_options.codec.encodeSnapshot({m_fleet.snapshot(), m_claims.snapshot()});
+    const std::size_t size = state.size();
+    runLog(log_compact{m_applied, std::move(state)});
+    emit(state_compacted{m_applied, size});
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/agent_task.cpp
@@ -0,0 +1,404 @@
+#include "tasks/agent_task.h"
+
+#include "codec/backend_codec.h"
+#include "codec/openai_codec.h"
+#include "ends/event_log.h"
+#include "tasks/task_identity.h"
+
+#include <carawayloft/core/overloaded.h>
+
+#include <random>
+
+namespace carawayloft {
+
+static constexpr duration tickPeriod{50};
+
+/** Time between two questions for the backend server's load, and how long it may take to answer. */
+static constexpr duration pollPeriod{100};
+static constexpr duration pollTimeout{500};
+static constexpr unsigned failedPollsToLost = 3;
+static constexpr duration orderTimeout{600'000};
+
+static backend_pipe_options pipeOptions(const settings &loaded)
+{
+    std::random_device entropy;
+    const std::uint64_t run = (std::uint64_t{entropy()} << 32U) | entropy();
+    return {loaded.agent->host, loaded.zone, loaded.agent->fabricDomain, loaded.agent->frames, incarnation(run)};
+}
+
+result<std::unique_ptr<agent_task>> agent_task::create(asio::io_context &context, const settings &loaded, std::function<void()> drained)
+{
+    auto task = std::unique_ptr<agent_task>(new agent_task(context, loaded, std::move(drained)));
+    agent_task *self = task.get();
+    auto listener = frame_listener::create(context, loaded.agent->frames, makeHello(loaded, process_role::Agent), [self](const auto &link, link_event event) {
+        self->linkEvent(link, std::move(event));
+    });
+    if (failed(listener)) {
+        return errorOf(listener);
+    }
+    task->m_listener = std::move(valueOf(listener));
+    auto http = http_server::create(context, loaded.agent->http, {}, [self](const http_request &request, const std::shared_ptr<http_exchange> &exchange) {
+        self->serve(request, *exchange);
+    });
+    if (failed(http)) {
+        return errorOf(http);
+    }
+    task->m_http = std::move(valueOf(http));
+    return task;
+}
+
+agent_task::agent_task(asio::io_context &context, const settings &loaded, std::function<void()> drained)
+    : m_context(context)
+    , m_settings(loaded)
+    , m_drained(std::move(drained))
+    , m_timers(context)
+    , m_pipe(pipeOptions(loaded), std::chrono::steady_clock::now())
+    , m_client(http_client::create(context))
+    , m_members(context,
+                m_timers,
+                makeHello(loaded, process_role::Agent),
+                [this](const endpoint &, link_event event) {
+                    if (auto *received = std::get_if<link_received>(&event)) {
+                        run(member_message{std::move(received->message)});
+                    }
+                })
+    , m_control(
+          context,
+          m_timers,
+          controlEndpoints(loaded),
+          makeHello(loaded, process_role::Agent),
+          [this] { return m_pipe.fleet().at(); },
+          [this](peer_message message) { run(control_message{std::move(message)}); })
+    , m_mailbox(context.get_executor(), [this](task_stop) { beginStop(); })
+    , m_stop(m_mailbox.sender())
+    , m_tick(m_timers.every(tickPeriod, [this](time_point) { run(agent_tick{}); }))
+    , m_poll(m_timers.every(pollPeriod, [this](time_point) { pollBackend(); }))
+{
+}
+
+void agent_task::stop()
+{
+    m_stop({});
+}
+
+void agent_task::beginStop()
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    logEvent(event_number::ProcessStopping, {{"role", "agent"}, {"in_flight", m_pipe.admitted().running()}});
+    m_stopBound = m_timers.after(m_settings.agent->stopBound, [this](time_point) { overdue(); });
+    run(agent_stop{});
+}
+
+void agent_task::overdue()
+{
+    logEvent(event_number::StopOverdue, {{"role", "agent"}, {"cut", m_pipe.admitted().running()}, {"bound_ms", m_settings.agent->stopBound.count()}});
+    m_drained();
+}
+
+void agent_task::linkEvent(const std::shared_ptr<frame_link> &link, link_event event)
+{
+    std::visit(overloaded{
+                   [&](const link_opened &opened) {
+                       run(link_connected{m_links.idOf(link), opened.peer.role});
+                   },
+                   [&](link_received &received) {
+                       run(link_message{m_links.idOf(link), std::move(received.message)});
+                   },
+                   [&](const link_closed &closed) {
+                       const bool hostile = closed.why.kind == error_kind::MalformedFrame || closed.why.kind == error_kind::VersionMismatch;
+                       if (hostile) {
+                           logEvent(event_number::FrameRejected, {{"peer", link->peer().process}, {"reason", describe(closed.why)}});
+                       }
+                       run(link_lost{m_links.remove(link)});
+                   },
+               },
+               event);
+}
+
+void agent_task::serve(const http_request &request, http_exchange &exchange)
+{
+    if (request.path == "/announce" && request.method == "POST") {
+        takeAnnouncement(request, exchange);
+    } else if (request.path == "/healthz" || request.path == "/readyz") {
+        const bool ready = request.path == "/healthz" || !m_stopping;
+        exchange.respond({ready ? 200U : 503U, {{"Content-Type", "text/plain"}}, ready ? "ok\n" : "stopping\n"});
+    } else if (request.path == "/metrics") {
+        const admission &admitted = m_pipe.admitted();
+        m_metrics.setGauge("carawayloft_work_running", {}, admitted.running());
+        m_metrics.setGauge("carawayloft_work_waiting", {}, admitted.waiting());
+        m_metrics.setGauge("carawayloft_work_limit", {}, admitted.limit());
+        m_metrics.setGauge("carawayloft_revision", {}, static_cast<double>(m_pipe.fleet().at().value()));
+        exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render()});
+    } else {
+        exchange.respond(
+            {404,
+             {{"Content-Type", "application/json"}},
+             encodeError({error_kind::InvalidRequest, "nothing is served at " + request.path, "use POST /announce, /metrics, /healthz or /readyz"})});
+    }
+}
+
+void agent_task::takeAnnouncement(const http_request &request, http_exchange &exchange)
+{
+    const auto backend = decodeAnnouncement(request.body);
+    if (failed(backend)) {
+        exchange.respond({400, {{"Content-Type", "application/json"}}, encodeError(errorOf(backend))});
+        return;
+    }
+    m_backendUrl = valueOf(backend).url;
+    run(valueOf(backend).announcement);
+    exchange.respond({204, {}, {}});
+}
+
+void agent_task::pollBackend()
+{
+    if (m_backendUrl.empty() || m_polling) {
+        return;
+    }
+    m_polling = true;
+    auto body = std::make_shared<std::string>();
+    m_client->start({"GET", m_backendUrl + "/load", {}, {}, pollTimeout}, [this, body](const http_event &event) {
+        std::visit(overloaded{
+                       [](const http_started &) {},
+                       [&](const http_received &received) { *body += received.bytes; },
+                       [&](const http_finished &) {
+                           m_polling = false;
+                           tookReport(*body);
+                       },
+                       [&](const http_failed &) {
+                           m_polling = false;
+                           if (++m_failedPolls >= failedPollsToLost) {
+                               run(backend_report{});
+                           }
+                       },
+                   },
+                   event);
+    });
+}
+
+void agent_task::tookReport(const std::string &body)
+{
+    const result<backend_report> report = decodeLoadReport(body);
+    if (!failed(report)) {
+        m_failedPolls = 0;
+        run(valueOf(report));
+    }
+}
+
+void agent_task::run(const backend_pipe_input &in)
+{
+    for (const backend_pipe_output &each : m_pipe.step(in, std::chrono::steady_clock::now())) {
+        std::visit([this](const auto &out) { act(out); }, each);
+    }
+}
+
+void agent_task::act(const send_to_link &out)
+{
+    m_links.send(out.link, out.message);
+}
+
+void agent_task::act(const send_to_member &out)
+{
+    m_members.add(out.agent);
+    m_members.send(out.agent, out.message);
+}
+
+void agent_task::act(const send_to_control &out)
+{
+    m_control.send(out.message);
+}
+
+void agent_task::act(const start_work &out)
+{
+    const dispatch_request &request = out.request;
+    http_call call{request.method, m_backendUrl + request.path, {}, request.body, request.timeLeft};
+    if (!request.contentType.empty()) {
+        call.headers.emplace("Content-Type", request.contentType);
+    }
+    call.headers.emplace("X-Request-Id", std::to_string(request.request.value()));
+    call.headers.emplace("X-Group-Epoch", std::to_string(request.epoch.value()));
+    if (request.resumeAt.value() > 0) {
+        call.headers.emplace("X-Resume-Offset", std::to_string(request.resumeAt.value()));
+    }
+    const work_key key = out.key;
+    m_calls[key] = m_client->start(call, [this, key](const http_event &event) {
+        std::visit(overloaded{
+                       [&](const http_started &started) {
+                           run(work_event{key, backend_started{started.status, started.contentType}});
+                       },
+                       [&](const http_received &received) {
+                           run(work_event{key, backend_bytes{received.bytes}});
+                       },
+                       [&](const http_finished &) {
+                           m_calls.erase(key);
+                           run(work_event{key, backend_finished{}});
+                       },
+                       [&](const http_failed &lost) {
+                           m_calls.erase(key);
+                           run(work_event{key, backend_failed{lost.neverSent}});
+                       },
+                   },
+                   event);
+    });
+    m_metrics.count("carawayloft_work_started_total");
+}
+
+void agent_task::act(const cancel_work &out)
+{
+    const auto call = m_calls.find(out.key);
+    if (call != m_calls.end()) {
+        m_client->cancel(call->second);
+        m_calls.erase(call);
+    }
+}
+
+void agent_task::act(const pace_work &out)
+{
+    const auto call = m_calls.find(out.key);
+    if (call != m_calls.end()) {
+        m_client->setPaused(call->second, out.paused);
+    }
+}
+
+void agent_task::act(const give_order &out)
+{
+    const http_call call{"POST", m_backendUrl + "/orders", {{"Content-Type", "application/json"}}, encodeOrder(out), orderTimeout};
+    const group_epoch epoch = out.epoch;
+    auto accepted = std::make_shared<bool>(false);
+    m_client->start(call, [this, epoch, accepted](const http_event &event) {
+        std::visit(overloaded{
+                       [&](const http_started &started) { *accepted = started.status == 200; },
+                       [](const http_received &) {},
+                       [&](const http_finished &) {
+                           run(order_done{epoch, *accepted});
+                       },
+                       [&](const http_failed &) {
+                           run(order_done{epoch, false});
+                       },
+                   },
+                   event);
+    });
+}
+
+void agent_task::act(const resubscribe &out)
+{
+    m_control.subscribeFrom(out.from);
+}
+
+void agent_task::act(const revision_in_force &out)
+{
+    logEvent(event_number::RevisionInForce, {{"revision", out.at}});
+}
+
+void agent_task::act(const revision_ignored &out)
+{
+    logEvent(event_number::RevisionIgnored, {{"revision", out.at}, {"in_force", out.inForce}});
+}
+
+void agent_task::act(const group_whole &out)
+{
+    logEvent(event_number::GroupWhole, {{"group", out.group}});
+}
+
+static std::string joined(const std::vector<host_id> &hosts)
+{
+    std::string text;
+    for (const host_id &each : hosts) {
+        text += (text.empty() ? "" : ",") + each.value();
+    }
+    return text;
+}
+
+void agent_task::act(const group_silenced &out)
+{
+    logEvent(event_number::GroupSilenced, {{"group", out.group}, {"missing", joined(out.missing)}});
+    m_metrics.count("carawayloft_group_silenced_total");
+}
+
+void agent_task::act(const limit_changed &out)
+{
+    logEvent(event_number::LimitChanged, {{"limit", out.limit}, {"reason", out.reason}});
+}
+
+static const char *nameOf(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::NotLeading:
+        return "not_leading";
+    case refusal_reason::GroupIncomplete:
+        return "group_incomplete";
+    case refusal_reason::ZoneOut:
+        return "zone_out";
+    case refusal_reason::Leaving:
+        return "leaving";
+    case refusal_reason::Stopping:
+        return "stopping";
+    case refusal_reason::Overloaded:
+        return "overloaded";
+    case refusal_reason::DeadlinePassed:
+        return "deadline_passed";
+    case refusal_reason::BackendDown:
+        return "backend_down";
+    }
+    return "unknown";
+}
+
+void agent_task::act(const work_rejected &out)
+{
+    logEvent(event_number::WorkRefused, {{"request", out.key.request}, {"attempt", out.key.attempt}, {"reason", nameOf(out.reason)}});
+    m_metrics.count("carawayloft_work_refused_total", std::string("reason=\"") + nameOf(out.reason) + "\"");
+}
+
+static const char *nameOf(lease_refusal reason)
+{
+    switch (reason) {
+    case lease_refusal::NotAssigned:
+        return "not_assigned";
+    case lease_refusal::NotReady:
+        return "not_ready";
+    case lease_refusal::PromisedElsewhere:
+        return "promised_elsewhere";
+    case lease_refusal::JustStarted:
+        return "just_started";
+    }
+    return "unknown";
+}
+
+void agent_task::act(const member_lease_refused &out)
+{
+    logEvent(
+        event_number::LeaseRefused, {{"group", out.request.group}, {"epoch", out.request.epoch}, {"lead", out.request.lead}, {"reason", nameOf(out.reason)}});
+}
+
+void agent_task::act(const control_lease_changed &out)
+{
+    logEvent(out.held ? event_number::ControlLeaseGained : event_number::ControlLeaseLost, {{"epoch", out.epoch}});
+}
+
+void agent_task::act(const backend_changed &out)
+{
+    switch (out.change) {
+    case backend_change::Announced:
+        logEvent(event_number::BackendAnnounced, {{"url", m_backendUrl}});
+        return;
+    case backend_change::Cold:
+        logEvent(event_number::BackendCold, {{"url", m_backendUrl}});
+        return;
+    case backend_change::Lost:
+        logEvent(event_number::BackendLost, {{"url", m_backendUrl}});
+        return;
+    case backend_change::Leaving:
+        logEvent(event_number::BackendLeaving, {{"url", m_backendUrl}});
+        return;
+    }
+}
+
+void agent_task::act(const work_drained &)
+{
+    // The last frames may still be on their way out of this process.
+    m_stopBound = m_timers.after(tickPeriod, [this](time_point) { m_drained(); });
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/agent_task.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "daemon/settings.h"
+#include "ends/frame_listener.h"
+#include "ends/http_client.h"
+#include "ends/http_server.h"
+#include "ends/link_table.h"
+#include "ends/mailbox.h"
+#include "ends/metrics.h"
+#include "ends/peer_links.h"
+#include "tasks/control_session.h"
+
+#include <carawayloft/backend/backend_pipe.h>
+
+namespace carawayloft {
+
+/** Stands beside one backend server: owns every connection to it, and hosts one backend pipe. */
+class agent_task
+{
+public:
+    /** Fails when the settings' addresses cannot be listened on. @p drained is called once after a stop. */
+    static result<std::unique_ptr<agent_task>> create(asio::io_context &context, const settings &loaded, std::function<void()> drained);
+
+    /** Begins a planned stop; safe from any thread, and a second call changes nothing. */
+    void stop();
+
+private:
+    struct task_stop {
+    };
+
+    agent_task(asio::io_context &context, const settings &loaded, std::function<void()> drained);
+
+    void linkEvent(const std::shared_ptr<frame_link> &link, link_event event);
+    void serve(const http_request &request, http_exchange &exchange);
+    void takeAnnouncement(const http_request &request, http_exchange &exchange);
+    void pollBackend();
+    void tookReport(const std::string &body);
+    void beginStop();
+    void overdue();
+
+    void run(const backend_pipe_input &in);
+    void act(const send_to_link &out);
+    void act(const send_to_member &out);
+    void act(const send_to_control &out);
+    void act(const start_work &out);
+    void act(const cancel_work &out);
+    void act(const pace_work &out);
+    void act(const give_order &out);
+    void act(const resubscribe &out);
+    void act(const revision_in_force &out);
+    void act(const revision_ignored &out);
+    void act(const group_whole &out);
+    void act(const group_silenced &out);
+    void act(const limit_changed &out);
+    void act(const work_rejected &out);
+    void act(const member_lease_refused &out);
+    void act(const control_lease_changed &out);
+    void act(const backend_changed &out);
+    void act(const work_drained &out);
+
+    asio::io_context &m_context;
+    settings m_settings;
+    std::function<void()> m_drained;
+    timer_service m_timers;
+    metrics m_metrics;
+    backend_pipe m_pipe;
+    std::string m_backendUrl; /**< Of the backend server; empty before it announced itself. */
+    std::map<work_key, http_call_id> m_calls;
+    bool m_polling = false;
+    unsigned m_failedPolls = 0;
+    link_table m_links;
+    std::unique_ptr<http_client> m_client;
+    std::unique_ptr<http_server> m_http;
+    std::unique_ptr<frame_listener> m_listener;
+    peer_links m_members;
+    control_session m_control;
+    mailbox<task_stop> m_mailbox;
+    std::function<void(task_stop)> m_stop;
+    timer_service::subscription m_tick;
+    timer_service::subscription m_poll;
+    timer_service::subscription m_stopBound;
+    bool m_stopping = false;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/control_session.cpp
@@ -0,0 +1,94 @@
+#include "tasks/control_session.h"
+
+#include "ends/event_log.h"
+
+#include <carawayloft/core/overloaded.h>
+
+namespace carawayloft {
+
+static constexpr duration tickPeriod{100};
+
+control_session::control_session(
+    asio::io_context &context, timer_service &timers, std::vector<endpoint> replicas, hello own, revision_source inForce, handler handle)
+    : m_context(context)
+    , m_own(std::move(own))
+    , m_inForce(std::move(inForce))
+    , m_handle(std::move(handle))
+    , m_finder(std::move(replicas))
+    , m_tick(timers.every(tickPeriod, [this](time_point) { run(finder_tick{}); }))
+{
+}
+
+control_session::~control_session()
+{
+    if (m_link) {
+        m_link->close();
+    }
+}
+
+void control_session::run(const leader_finder::input &in)
+{
+    for (const leader_finder::output &each : m_finder.step(in, std::chrono::steady_clock::now())) {
+        std::visit([this](const auto &out) { act(out); }, each);
+    }
+}
+
+void control_session::act(const connect_to_control &out)
+{
+    if (m_link) {
+        m_link->close();
+    }
+    m_link = frame_link::connect(
+        m_context.get_executor(), out.replica, m_own, [this, alive = std::weak_ptr<int>(m_alive)](const std::shared_ptr<frame_link> &link, link_event event) {
+            if (!alive.expired() && link == m_link) {
+                take(link, std::move(event));
+            }
+        });
+}
+
+void control_session::act(const ask_control &)
+{
+    subscribeFrom(m_inForce());
+}
+
+void control_session::subscribeFrom(revision from)
+{
+    send(subscribe{from});
+}
+
+void control_session::send(const peer_message &message)
+{
+    if (m_link && m_link->isOpen()) {
+        m_link->send(message);
+    }
+}
+
+void control_session::take(const std::shared_ptr<frame_link> &, link_event event)
+{
+    std::visit(overloaded{
+                   [&](const link_opened &opened) {
+                       logEvent(event_number::LinkOpened, {{"peer", opened.peer.process}, {"role", "control"}});
+                       run(control_opened{});
+                   },
+                   [&](link_received &each) { received(std::move(each.message)); },
+                   [&](const link_closed &closed) {
+                       if (closed.everOpened) {
+                           logEvent(event_number::LinkClosed, {{"role", "control"}, {"reason", describe(closed.why)}});
+                       }
+                       run(control_closed{});
+                   },
+               },
+               event);
+}
+
+void control_session::received(peer_message message)
+{
+    if (const auto *elsewhere = std::get_if<not_leader>(&message)) {
+        run(leader_is_elsewhere{elsewhere->leader});
+        return;
+    }
+    run(leader_heard{});
+    m_handle(std::move(message));
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/control_session.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "ends/frame_link.h"
+#include "ends/timer_service.h"
+
+#include <carawayloft/order/leader_finder.h>
+
+#include <asio/io_context.hpp>
+
+namespace carawayloft {
+
+/** A process's connection to the leader of control, wherever that is at the time. */
+class control_session
+{
+public:
+    using handler = std::function<void(peer_message)>;
+    using revision_source = std::function<revision()>;
+
+    control_session(asio::io_context &context, timer_service &timers, std::vector<endpoint> replicas, hello own, revision_source inForce, handler handle);
+    ~control_session();
+
+    /** Sends to the leader if it is known and reached; else the message is dropped. */
+    void send(const peer_message &message);
+
+    /** Asks for everything from @p from on. */
+    void subscribeFrom(revision from);
+
+private:
+    void run(const leader_finder::input &in);
+    void act(const connect_to_control &out);
+    void act(const ask_control &out);
+    void take(const std::shared_ptr<frame_link> &link, link_event event);
+    void received(peer_message message);
+
+    asio::io_context &m_context;
+    hello m_own;
+    revision_source m_inForce;
+    handler m_handle;
+    leader_finder m_finder;
+    std::shared_ptr<frame_link> m_link;
+    timer_service::subscription m_tick;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/control_task.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "daemon/settings.h"
+#include "ends/data_folder.h"
+#include "ends/frame_listener.h"
+#include "ends/http_server.h"
+#include "ends/link_table.h"
+#include "ends/mailbox.h"
+#include "ends/metrics.h"
+#include "ends/peer_links.h"
+
+#include <carawayloft/order/formation.h>
+#include <carawayloft/order/order_pipe.h>
+
+#include <random>
+
+namespace carawayloft {
+
+/** A control replica: owns its disk, its connections and its operators' page, and hosts one order pipe. */
+class control_task
+{
+public:
+    /** Fails on damaged files and on addresses that cannot be listened on. @p ended is called once, with whether all went well. */
+    static result<std::unique_ptr<control_task>> create(asio::io_context &context, const settings &loaded, std::function<void(bool)> ended);
+
+    /** Begins a planned stop; safe from any thread, and a second call changes nothing. */
+    void stop();
+
+private:
+    struct task_stop {
+    };
+
+    /** An operator who waits for an answer, and what to answer with when the log agrees. */
+    struct waiting_operator {
+        std::shared_ptr<http_exchange> exchange;
+        std::function<http_response(revision at)> answer;
+    };
+
+    control_task(asio::io_context &context, const settings &loaded, std::function<void(bool)> ended);
+
+    // Start.
+    status openFolder();
+    status listen();
+    status startLog(replica_id self, recovered_log recovered);
+    void runFormation(const formation_input &in);
+    void act(const probe_peer &out);
+    void act(const form_log &out);
+    void act(const join_log &out);
+    status storeIdentity(replica_id self);
+    void askToJoin();
+
+    // Frames.
+    void linkEvent(const std::shared_ptr<frame_link> &link, link_event event);
+    void peerEvent(const endpoint &peer, link_event event);
+    void received(const std::shared_ptr<frame_link> &link, peer_message message);
+
+    // The pipe. Outputs are acted on together, so that one sync covers all that came in meanwhile.
+    void run(const order_pipe_input &in);
+    void flush();
+    void replicaStopped(const error &why);
+    void act(const send_to_replica &out);
+    void act(const send_to_link &out);
+    void act(const operator_answered &out);
+    void act(const role_changed &out);
+    void act(const change_applied &out);
+    void act(const change_in_force &out);
+    void act(const placement_proposed &out);
+    void act(const hosts_stranded &out);
+    void act(const state_compacted &out);
+    void act(const control_drained &out);
+    template<class Persisted>
+    void act(const Persisted &)
+    {
+    }
+
+    // Operators.
+    void serve(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
+    void serveRead(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
+    void serveCommand(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
+    operator_token wait(const std::shared_ptr<http_exchange> &exchange, std::function<http_response(revision)> answer);
+    void respondError(http_exchange &exchange, const error &why);
+    std::string renderMetrics();
+    endpoint leaderHttp() const;
+
+    asio::io_context &m_context;
+    settings m_settings;
+    std::function<void(bool)> m_ended;
+    timer_service m_timers;
+    metrics m_metrics;
+    std::mt19937_64 m_random;
+    std::unique_ptr<data_folder> m_folder;
+    log_store m_store;
+    std::optional<formation> m_formation;
+    std::optional<order_pipe> m_pipe;
+    replica_id m_self;
+    std::vector<order_pipe_output> m_pending;
+    bool m_flushPosted = false;
+    bool m_failed = false;
+    bool m_joining = false;
+    link_table m_links;
+    std::map<operator_token, waiting_operator> m_operators;
+    operator_token m_lastOperator;
+    std::map<service_id, std::size_t> m_stranded;
+    std::unique_ptr<frame_listener> m_listener;
+    std::unique_ptr<http_server> m_http;
+    peer_links m_peers;
+    mailbox<task_stop> m_mailbox;
+    std::function<void(task_stop)> m_stop;
+    timer_service::subscription m_tick;
+    timer_service::subscription m_joinTick;
+    timer_service::subscription m_endTimer;
+    bool m_stopping = false;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/entry_task.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "daemon/settings.h"
+#include "ends/http_server.h"
+#include "ends/mailbox.h"
+#include "ends/metrics.h"
+#include "ends/peer_links.h"
+#include "tasks/control_session.h"
+
+#include <carawayloft/request/request_pipe.h>
+
+#include <random>
+
+namespace carawayloft {
+
+/** Serves callers: owns their connections and those to lead agents, and hosts one request pipe. */
+class entry_task
+{
+public:
+    /** Fails when the settings' address cannot be listened on. @p drained is called once after a stop. */
+    static result<std::unique_ptr<entry_task>> create(asio::io_context &context, const settings &loaded, std::function<void()> drained);
+
+    /** Begins a planned stop; safe from any thread, and a second call changes nothing. */
+    void stop();
+
+private:
+    struct task_stop {
+    };
+
+    /** The answering side of one request. */
+    struct open_answer {
+        std::shared_ptr<http_exchange> exchange;
+        std::uint32_t status = 0;
+        std::string contentType;
+        std::string held; /**< Begin of an answer that may still be sent whole. */
+        bool streaming = false;
+    };
+
+    entry_task(asio::io_context &context, const settings &loaded, std::function<void()> drained);
+
+    void serve(http_request request, std::shared_ptr<http_exchange> exchange);
+    bool serveOwnPages(const http_request &request, http_exchange &exchange);
+    result<caller_request> decode(const http_request &request) const;
+    void accept(caller_request request, std::shared_ptr<http_exchange> exchange);
+    void refuse(http_exchange &exchange, const reject_caller &answer);
+    void beginStop();
+    void overdue();
+
+    void run(const request_pipe_input &in);
+    void act(const reject_caller &out);
+    void act(const start_answer &out);
+    void act(const continue_answer &out);
+    void act(const finish_answer &out);
+    void act(const cut_answer &out);
+    void act(const send_to_agent &out);
+    void act(const send_to_control &out);
+    void act(const agents_wanted &out);
+    void act(const resubscribe &out);
+    void act(const revision_in_force &out);
+    void act(const revision_ignored &out);
+    void act(const route_chosen &out);
+    void act(const route_unavailable &out);
+    void act(const group_ejected &out);
+    void act(const group_probed &out);
+    void act(const request_retried &out);
+    void act(const stream_resumed &out);
+    void act(const claim_decided &out);
+    void act(const requests_drained &out);
+    void act(const request_measured &out);
+
+    void stream(open_answer &answer, request_id request, std::string bytes);
+    void agentEvent(const endpoint &agent, link_event event);
+
+    asio::io_context &m_context;
+    settings m_settings;
+    std::function<void()> m_drained;
+    timer_service m_timers;
+    metrics m_metrics;
+    request_pipe m_pipe;
+    std::mt19937_64 m_random;
+    std::map<request_id, open_answer> m_answers;
+    std::unique_ptr<http_server> m_http;
+    peer_links m_agents;
+    control_session m_control;
+    mailbox<task_stop> m_mailbox;
+    std::function<void(task_stop)> m_stop;
+    timer_service::subscription m_tick;
+    timer_service::subscription m_stopBound;
+    bool m_stopping = false;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/task_identity.cpp
@@ -0,0 +1,31 @@
+#include "tasks/task_identity.h"
+
+namespace carawayloft {
+
+hello makeHello(const settings &loaded, process_role role)
+{
+    hello own;
+    own.role = role;
+    own.process = loaded.process;
+    own.zone = loaded.zone;
+    if (role == process_role::Agent) {
+        own.host = loaded.agent->host;
+    }
+    return own;
+}
+
+std::vector<endpoint> controlEndpoints(const settings &loaded)
+{
+    std::vector<endpoint> replicas;
+    for (const control_peer &each : loaded.control) {
+        replicas.push_back(each.frames);
+    }
+    return replicas;
+}
+
+wall_time wallNow()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+}
+
+} // namespace carawayloft
