--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -84,7 +84,7 @@
     for (int round = 0; round < rounds; ++round) {
         for (const std::string &replica : m_replicas) {
             // A command carries its id, so asking again gets the first answer.
-            const result<http_answer> answer = fetch("http://" + replica + path, body);
+            const result<http_answer> answer = fetch(std::string("http://").append(replica).append(path), body);
             if (failed(answer)) {
                 last = errorOf(answer);
                 continue;
--- a/src/cli/table.cpp
+++ b/src/cli/table.cpp
@@ -30,6 +30,7 @@
     std::vector<std::vector<std::string>> lines{columns};
     for (const auto &row : rows) {
         std::vector<std::string> line;
+        line.reserve(columns.size());
         for (const std::string &column : columns) {
             line.push_back(cellOf(row, column));
         }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -189,7 +189,7 @@
 
     endpoint checkedAddress(const std::string &text, const toml::node *node, const std::string &name)
     {
-        const endpoint address(text);
+        endpoint address(text);
         if (const auto parsed = parseEndpoint(address); !m_failure && failed(parsed)) {
             fail(node, name + ": " + errorOf(parsed).what, errorOf(parsed).remedy);
         }
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -146,7 +146,7 @@
         }
         one.headers = curl_slist_append(one.headers, "Expect:");
         for (const auto &[name, value] : call.headers) {
-            one.headers = curl_slist_append(one.headers, (name + ": " + value).c_str());
+            one.headers = curl_slist_append(one.headers, std::string(name).append(": ").append(value).c_str());
         }
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, one.headers);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &impl::onBytes);
