Give work to groups of which nothing is known, or nothing new

Cause: a zone that came back under load got no work for 30 s. Its new group had no samples and was assumed to take 200 ms to the first token, while the group that served took 110 ms, so the choice never fell on the new one and it never got a sample. Ruled out: leases and admission (the group was whole, had its control lease and a limit of 2, and was among the two candidates). The same would happen for ever to a group that was slow once.

Change: without a sample younger than 10 s a group is taken to be like the median of those that have one.

--- a/include/carawayloft/request/router.h
+++ b/include/carawayloft/request/router.h
@@ -6,6 +6,7 @@
 #include <carawayloft/request/route_policy.h>
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -106,6 +107,7 @@
         double firstTokenMs = 0; /**< Moving averages; zero before the first sample. */
         double totalMs = 0;
         unsigned samples = 0;
+        time_point sampledAt;
         unsigned failuresInRow = 0;
         duration ejection{0};
         time_point ejectedUntil;
@@ -123,9 +125,17 @@
     group_view *choose(const random_policy &policy, const std::vector<group_view *> &candidates, const route_wanted &in, time_point now);
     group_view *choose(const round_robin_policy &policy, const std::vector<group_view *> &candidates, const route_wanted &in, time_point now);
     group_view *choose(const least_outstanding_policy &policy, const std::vector<group_view *> &candidates, const route_wanted &in, time_point now);
+    /** Times that a group is expected to take. */
+    struct expected_times {
+        double firstTokenMs = 0;
+        double totalMs = 0;
+    };
+
+    bool isFresh(const group_view &view, time_point now) const;
+    expected_times expectedTimes(const group_view &view, time_point now) const;
     double expectedWaitMs(const group_view &view, std::uint64_t prefixDigest, time_point now) const;
     bool hasPrefix(const group_view &view, std::uint64_t prefixDigest) const;
-    double medianFirstTokenMs(const service_id &service) const;
+    std::optional<expected_times> medianTimes(const service_id &service, time_point now) const;
     void eject(group_view &view, const std::string &reason, time_point now, std::vector<output> &out);
 
     availability_zone_id m_ownZone;
--- a/src/request_pipe/router.cpp
+++ b/src/request_pipe/router.cpp
@@ -9,10 +9,13 @@
 /** Weight of the newest sample in a moving average. */
 static constexpr double newestSampleWeight = 0.2;
 
-/** Assumed before the first sample. */
+/** Assumed before the first sample of any group of the service. */
 static constexpr double assumedFirstTokenMs = 200;
 static constexpr double assumedTotalMs = 1'000;
 
+/** A group without a newer sample is taken to be like the others again, so that it gets work and shows how it does. */
+static constexpr duration maxSampleAge{10'000};
+
 /** Cost of leaving the own availability zone, both ways, with room for a slow link. */
 static constexpr double otherZoneMs = 5;
 
@@ -149,10 +152,22 @@
     return found != m_prefixes.end() && found->second == view.group.group;
 }
 
+bool router::isFresh(const group_view &view, time_point now) const
+{
+    return view.samples > 0 && now < view.sampledAt + maxSampleAge;
+}
+
+router::expected_times router::expectedTimes(const group_view &view, time_point now) const
+{
+    if (isFresh(view, now)) {
+        return {view.firstTokenMs, view.totalMs};
+    }
+    return medianTimes(view.group.service, now).value_or(expected_times{assumedFirstTokenMs, assumedTotalMs});
+}
+
 double router::expectedWaitMs(const group_view &view, std::uint64_t prefixDigest, time_point now) const
 {
-    const double firstToken = view.samples == 0 ? assumedFirstTokenMs : view.firstTokenMs;
-    const double total = view.samples == 0 ? assumedTotalMs : view.totalMs;
+    const auto [firstToken, total] = expectedTimes(view, now);
     const double limit = std::max(1U, view.report.limit);
     const double load = outstanding(view.sent, view.inFlight, view.report);
     double wait = firstToken;
@@ -202,20 +217,27 @@
         candidates.begin(), candidates.end(), [](const group_view *left, const group_view *right) { return left->inFlight < right->inFlight; });
 }
 
-double router::medianFirstTokenMs(const service_id &service) const
+static double medianOf(std::vector<double> &values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+std::optional<router::expected_times> router::medianTimes(const service_id &service, time_point now) const
 {
-    std::vector<double> times;
+    std::vector<double> firstTokens;
+    std::vector<double> totals;
     for (const auto &[group, view] : m_groups) {
-        if (view.group.service == service && view.samples > 0) {
-            times.push_back(view.firstTokenMs);
+        if (view.group.service == service && isFresh(view, now)) {
+            firstTokens.push_back(view.firstTokenMs);
+            totals.push_back(view.totalMs);
         }
     }
-    if (times.empty()) {
-        return 0;
+    if (firstTokens.empty()) {
+        return std::nullopt;
     }
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), middle, times.end());
-    return *middle;
+    return expected_times{medianOf(firstTokens), medianOf(totals)};
 }
 
 void router::eject(group_view &view, const std::string &reason, time_point now, std::vector<output> &out)
@@ -254,7 +276,8 @@
     mix(view.firstTokenMs, in.firstToken);
     mix(view.totalMs, in.total);
     ++view.samples;
-    const double median = medianFirstTokenMs(view.group.service);
+    view.sampledAt = now;
+    const double median = medianTimes(view.group.service, now)->firstTokenMs;
     const bool slow = median > 0 && view.firstTokenMs > median * stragglerFactor;
     if (slow && (view.samples >= stragglerSamples || view.probing)) {
         eject(view, "straggler", now, out);
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -43,7 +43,13 @@
     ASSERT_TRUE(cluster.await("a leader", [&] { return cluster.leader() != 0; }));
     change.url = cluster.controlUrl(cluster.leader()) + "/v1/commands";
     for (unsigned i = 1; i <= changes; ++i) {
-        change.body = nlohmann::json{{"type", "put_account"}, {"command_id", "c" + std::to_string(i)}, {"author", "tariq"}, {"account", "a" + std::to_string(i % 7)}, {"key", "k" + std::to_string(i)}, {"weight", i}}.dump();
+        change.body = nlohmann::json{
+            {"type", "put_account"},
+            {"command_id", "c" + std::to_string(i)},
+            {"author", "tariq"},
+            {"account", "a" + std::to_string(i % 7)},
+            {"key", "k" + std::to_string(i)},
+            {"weight", i}}.dump();
         accepted += ask(change).status == 200 ? 1 : 0;
     }
     ASSERT_EQ(accepted, changes);
@@ -117,7 +123,14 @@
         http_question change;
         change.method = "POST";
         change.url = cluster.controlUrl(cluster.leader()) + "/v1/commands";
-        change.body = nlohmann::json{{"type", "put_zone"}, {"command_id", "race-" + author}, {"author", author}, {"seen", std::stoul(seen)}, {"zone", "mid-d"}, {"state", state}}.dump();
+        change.body = nlohmann::json{
+            {"type", "put_zone"},
+            {"command_id", "race-" + author},
+            {"author", author},
+            {"seen", std::stoul(seen)},
+            {"zone", "mid-d"},
+            {"state",
+             state}}.dump();
         return askLater(change);
     };
     auto priya = race("serving", "priya");
@@ -214,7 +227,8 @@
     http_question alive = ready;
     alive.url = cluster.entryUrl(1) + "/healthz";
     ASSERT_TRUE(cluster.await("the entry runs", [&] { return ask(alive).status == 200; }));
-    ASSERT_TRUE(cluster.await("the entry has asked the replica that is left", [&] { return cluster.process("entry-1").log().find("peer=control-3") != std::string::npos; }));
+    ASSERT_TRUE(cluster.await(
+        "the entry has asked the replica that is left", [&] { return cluster.process("entry-1").log().find("peer=control-3") != std::string::npos; }));
     EXPECT_EQ(ask(ready).status, 503);
     const http_answer refused = ask(cluster.question(1, "hello", 1));
     EXPECT_EQ(refused.status, 503);
--- a/tests/process/group_test.cpp
+++ b/tests/process/group_test.cpp
@@ -190,10 +190,13 @@
     for (unsigned i = 1; i <= 3; ++i) {
         cluster.process("control-" + std::to_string(i)).signal(SIGSTOP);
     }
-    EXPECT_TRUE(cluster.await("no new work", [&] {
-        const http_answer answer = ask(cluster.question(1, "anyone there", 1));
-        return answer.status == 503 && answer.headers.at("carawayloft-outcome") == "did-not-run";
-    }, 10));
+    EXPECT_TRUE(cluster.await(
+        "no new work",
+        [&] {
+            const http_answer answer = ask(cluster.question(1, "anyone there", 1));
+            return answer.status == 503 && answer.headers.at("carawayloft-outcome") == "did-not-run";
+        },
+        10));
     for (unsigned i = 1; i <= 3; ++i) {
         cluster.process("control-" + std::to_string(i)).signal(SIGCONT);
     }
@@ -223,10 +226,13 @@
     const unsigned leader = cluster.leader();
     cluster.process("control-" + std::to_string(leader)).kill();
     cluster.startControl(leader);
-    EXPECT_TRUE(cluster.await("the plan is done", [&] {
-        const auto now = cluster.tool({"plan", "show", plan, "--json"});
-        return now.first == 0 && nlohmann::json::parse(now.second)["state"] == "done";
-    }, 60));
+    EXPECT_TRUE(cluster.await(
+        "the plan is done",
+        [&] {
+            const auto now = cluster.tool({"plan", "show", plan, "--json"});
+            return now.first == 0 && nlohmann::json::parse(now.second)["state"] == "done";
+        },
+        60));
     stop = true;
     caller.join();
     EXPECT_EQ(cut, 0U);
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -96,7 +96,8 @@
     const unsigned leader = cluster.leader();
     cluster.process("control-" + std::to_string(leader)).signal(SIGTERM);
     EXPECT_EQ(cluster.process("control-" + std::to_string(leader)).wait(), 0);
-    ASSERT_TRUE(cluster.await("another leader", [&] { return cluster.leader() != 0; }, 5));
+    ASSERT_TRUE(cluster.await(
+        "another leader", [&] { return cluster.leader() != 0; }, 5));
     expectWhole(streams);
 }
 
--- a/tests/request/router_test.cpp
+++ b/tests/request/router_test.cpp
@@ -120,6 +120,34 @@
     EXPECT_EQ(chosenBy(router, 102, later, others), group_id(3));
 }
 
+TEST(Router, AGroupOfWhichNothingIsKnownGetsWork)
+{
+    router router(availability_zone_id("mid-b"), expected_wait_policy{}, 1);
+    router.step(groups_changed{{makeGroup(1, "mid-b"), makeGroup(2, "mid-a")}}, start);
+    router.step(makeReport(1, 4, 8), start);
+    router.step(makeReport(2, 0, 8), start);
+    for (int i = 0; i < 10; ++i) {
+        router.step(attempt_ended{group_id(1), attempt_result::Answered, duration(60), duration(150)}, start);
+    }
+    EXPECT_EQ(chosenBy(router, 1, start), group_id(2));
+}
+
+TEST(Router, AGroupThatWasSlowIsTriedAgainLater)
+{
+    router router(availability_zone_id("mid-a"), expected_wait_policy{}, 1);
+    router.step(groups_changed{{makeGroup(1), makeGroup(2)}}, start);
+    router.step(makeReport(1, 4, 8), start);
+    router.step(makeReport(2, 0, 8), start);
+    router.step(attempt_ended{group_id(1), attempt_result::Answered, duration(50), duration(100)}, start);
+    router.step(attempt_ended{group_id(2), attempt_result::Answered, duration(500), duration(900)}, start);
+    EXPECT_EQ(chosenBy(router, 1, start), group_id(1));
+    const time_point later = start + std::chrono::seconds(11);
+    router.step(attempt_ended{group_id(1), attempt_result::Answered, duration(50), duration(100)}, later);
+    router.step(makeReport(1, 4, 8), later);
+    router.step(makeReport(2, 0, 8), later);
+    EXPECT_EQ(chosenBy(router, 2, later), group_id(2));
+}
+
 TEST(Router, EjectsAGroupThatKeepsFailing)
 {
     router router(availability_zone_id("mid-a"), expected_wait_policy{}, 1);
