Route by own load at once and others' load averaged; count a wait for a turn against nobody

Printing limits and queues showed groups swinging between 3 running and 16 running with 13 waiting: the measured time to the first token contained the wait in the group's queue, so a queue was counted twice and avoided long after it had gone.

Change: the agent tells how long a request waited for its turn, and the router measures without it; reports say which part of the load is the reader's own, so own load is exact and the rest an average; ties are broken at random; a sample of 2 instead of 3.

--- /dev/null
+++ b/fuzz/fuzz_target.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+/** One input; aborts on a fault. The name is libFuzzer's, so that the targets also build with -fsanitize=fuzzer. */
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size);
+
+/** Well-formed inputs to start from. */
+std::vector<std::vector<std::uint8_t>> fuzzSeeds();
--- a/include/carawayloft/backend/answer_relay.h
+++ b/include/carawayloft/backend/answer_relay.h
@@ -61,7 +61,8 @@
     using input = relay_input;
     using output = relay_output;
 
-    explicit answer_relay(const dispatch_request &request);
+    /** @p waited is how long the request waited for its turn. */
+    answer_relay(const dispatch_request &request, duration waited);
 
     std::vector<output> step(const input &in, time_point now);
 
@@ -76,6 +77,7 @@
 
     request_id m_request;
     attempt_number m_attempt;
+    duration m_waited;
     bool m_stream;
     stream_offset m_offset;
     std::uint32_t m_credit;
--- a/include/carawayloft/backend/backend_pipe.h
+++ b/include/carawayloft/backend/backend_pipe.h
@@ -42,13 +42,12 @@
     }
 
 private:
-    struct active_work {
-        answer_relay relay;
-        bool headSent = false;
+    struct queued_work {
+        dispatch_request request;
+        time_point since;
     };
     struct entry_link {
         process_role role = process_role::Entry;
-        std::uint64_t arrived = 0; /**< Requests received for the group led now. */
     };
 
     void take(const link_connected &in);
@@ -121,8 +120,8 @@
 
     admission m_admission;
     std::map<link_id, entry_link> m_links;
-    std::map<work_key, dispatch_request> m_queued;
-    std::map<work_key, active_work> m_active;
+    std::map<work_key, queued_work> m_queued;
+    std::map<work_key, answer_relay> m_active;
     std::set<work_key> m_seen; /**< Attempts taken lately, so that a doubled frame starts nothing. */
     std::deque<work_key> m_seenOrder;
     std::uint64_t m_cachedPrefix = 0;
--- a/include/carawayloft/messages/request_messages.h
+++ b/include/carawayloft/messages/request_messages.h
@@ -110,13 +110,15 @@
     attempt_number attempt;
     std::uint32_t status = 0;
     std::string contentType;
+    duration waited{0}; /**< Before the agent let it through to the backend server. */
 
     static constexpr auto fields()
     {
         return std::tuple(field{"request", &answer_head::request},
                           field{"attempt", &answer_head::attempt},
                           field{"status", &answer_head::status},
-                          field{"content_type", &answer_head::contentType});
+                          field{"content_type", &answer_head::contentType},
+                          field{"waited_ms", &answer_head::waited});
     }
 };
 
@@ -165,7 +167,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t limit = 0;
-    std::uint64_t arrived = 0; /**< Requests received from this entry so far; tells which sends the report includes. */
+    std::uint32_t own = 0; /**< Part of running and waiting that came from the receiving entry. */
     std::uint64_t cachedPrefix = 0; /**< A prefix digest newly in the engine's cache, or zero. */
 
     static constexpr auto fields()
@@ -177,7 +179,7 @@
                           field{"running", &load_report::running},
                           field{"waiting", &load_report::waiting},
                           field{"limit", &load_report::limit},
-                          field{"arrived", &load_report::arrived},
+                          field{"own", &load_report::own},
                           field{"cached_prefix", &load_report::cachedPrefix});
     }
 };
--- a/include/carawayloft/request/request_pipe.h
+++ b/include/carawayloft/request/request_pipe.h
@@ -72,6 +72,7 @@
         routable_group group;
         time_point sentAt;
         std::optional<time_point> firstByteAt;
+        duration waited{0}; /**< For a turn at the group, as its agent said. */
         std::set<group_id> refusedBy;
         stream_assembler assembler;
         std::uint32_t creditOwed = 0; /**< Pieces that the caller took since the last grant. */
--- a/include/carawayloft/request/route_policy.h
+++ b/include/carawayloft/request/route_policy.h
@@ -6,7 +6,7 @@
 
 /** Least expected wait among a few candidates drawn at random, with prefix affinity and zone distance. */
 struct expected_wait_policy {
-    unsigned sampledGroups = 3; /**< Few enough that entries with the same late reports do not all choose the same group. */
+    unsigned sampledGroups = 2; /**< Few enough that entries with the same late reports do not all choose the same group. */
 };
 
 /** Baselines of the routing bench. */
--- a/include/carawayloft/request/router.h
+++ b/include/carawayloft/request/router.h
@@ -21,6 +21,7 @@
     service_id service;
     availability_zone_id zone;
     endpoint lead;
+    std::uint32_t warmLimit = 1; /**< Concurrent requests that it can bear when warm. */
 };
 
 // Inputs.
@@ -51,8 +52,8 @@
 struct attempt_ended {
     group_id group;
     attempt_result outcome = attempt_result::Answered;
-    duration firstToken{0}; /**< From sending to the first byte; counts when answered. */
-    duration total{0};
+    duration firstToken{0}; /**< From sending to the first byte, less the wait for a turn; counts when answered. */
+    duration total{0}; /**< From sending to the last byte, less the wait for a turn. */
 };
 
 // Outputs.
@@ -84,7 +85,11 @@
 using router_input = std::variant<groups_changed, load_reported, route_wanted, attempt_ended>;
 using router_output = std::variant<route_chosen, route_unavailable, group_ejected, group_probed>;
 
-/** Chooses the group for each attempt from late load reports, corrected by what was sent since. */
+/**
+ * Chooses the group for each attempt. What this entry has in flight is known exactly; what others have
+ * comes from late reports and is averaged over time, so that entries with the same old report do not all
+ * run to the same group.
+ */
 class router
 {
 public:
@@ -102,8 +107,8 @@
         time_point reportedAt;
         bool reported = false;
         bool refusedSinceReport = false; /**< What the last report said no longer holds. */
-        std::uint64_t sent = 0; /**< Attempts sent from here in this epoch. */
-        std::uint32_t inFlight = 0; /**< Attempts of this entry that have not ended. */
+        std::uint32_t inFlight = 0; /**< Attempts of this entry that have not ended; known without delay. */
+        double othersLoad = 0; /**< Moving average of what other entries have there, from late reports. */
         double firstTokenMs = 0; /**< Moving averages; zero before the first sample. */
         double totalMs = 0;
         unsigned samples = 0;
@@ -121,6 +126,7 @@
 
     std::vector<group_view *> candidatesFor(const route_wanted &in, time_point now, std::size_t &known);
     bool isOpen(const group_view &view, time_point now) const;
+    static double outstanding(const group_view &view);
     group_view *choose(const expected_wait_policy &policy, const std::vector<group_view *> &candidates, const route_wanted &in, time_point now);
     group_view *choose(const random_policy &policy, const std::vector<group_view *> &candidates, const route_wanted &in, time_point now);
     group_view *choose(const round_robin_policy &policy, const std::vector<group_view *> &candidates, const route_wanted &in, time_point now);
--- a/src/backend_pipe/answer_relay.cpp
+++ b/src/backend_pipe/answer_relay.cpp
@@ -10,9 +10,10 @@
 static constexpr std::size_t pauseAbove = 64;
 static constexpr std::size_t resumeBelow = 16;
 
-answer_relay::answer_relay(const dispatch_request &request)
+answer_relay::answer_relay(const dispatch_request &request, duration waited)
     : m_request(request.request)
     , m_attempt(request.attempt)
+    , m_waited(waited)
     , m_stream(request.stream)
     , m_offset(request.resumeAt)
     , m_credit(request.credit)
@@ -32,7 +33,7 @@
 {
     m_started = true;
     m_stream = m_stream && in.status == 200;
-    out.emplace_back(relay_frame{answer_head{m_request, m_attempt, in.status, in.contentType}});
+    out.emplace_back(relay_frame{answer_head{m_request, m_attempt, in.status, in.contentType, m_waited}});
 }
 
 void answer_relay::take(const backend_bytes &in, std::vector<output> &out)
--- a/src/backend_pipe/backend_pipe.cpp
+++ b/src/backend_pipe/backend_pipe.cpp
@@ -3,6 +3,8 @@
 #include <carawayloft/backend/lease_terms.h>
 #include <carawayloft/core/overloaded.h>
 
+#include <algorithm>
+
 namespace carawayloft {
 
 /** Time between load reports to entries. */
@@ -42,7 +44,7 @@
 
 void backend_pipe::take(const link_connected &in)
 {
-    m_links.insert_or_assign(in.link, entry_link{in.role, 0});
+    m_links.insert_or_assign(in.link, entry_link{in.role});
     m_reportDue = m_now;
 }
 
@@ -50,12 +52,12 @@
 {
     m_links.erase(in.link);
     std::vector<work_key> affected;
-    for (const auto &[key, work] : m_active) {
+    for (const auto &[key, relay] : m_active) {
         if (key.link == in.link) {
             affected.push_back(key);
         }
     }
-    for (const auto &[key, request] : m_queued) {
+    for (const auto &[key, work] : m_queued) {
         if (key.link == in.link) {
             affected.push_back(key);
         }
@@ -96,10 +98,7 @@
         refuse(key, refusal_reason::NotLeading, {});
         return;
     }
-    if (const auto known = m_links.find(link); known != m_links.end()) {
-        ++known->second.arrived;
-    }
-    m_queued.emplace(key, request);
+    m_queued.emplace(key, queued_work{request, m_now});
     runAdmission(work_arrived{key, request.account, request.weight, request.priority, m_now + request.timeLeft});
 }
 
@@ -127,8 +126,9 @@
 void backend_pipe::start(const work_key &key)
 {
     const auto queued = m_queued.find(key);
-    m_active.emplace(key, active_work{answer_relay(queued->second)});
-    emit(start_work{key, std::move(queued->second)});
+    const duration waited = std::chrono::duration_cast<duration>(m_now - queued->second.since);
+    m_active.emplace(key, answer_relay(queued->second.request, waited));
+    emit(start_work{key, std::move(queued->second.request)});
     m_queued.erase(queued);
 }
 
@@ -146,8 +146,8 @@
 
 void backend_pipe::breakAll()
 {
-    const std::map<work_key, active_work> broken = std::exchange(m_active, {});
-    for (const auto &[key, work] : broken) {
+    const std::map<work_key, answer_relay> broken = std::exchange(m_active, {});
+    for (const auto &[key, relay] : broken) {
         emit(send_to_link{key.link, answer_end{key.request, key.attempt, {}, answer_ending::Broken}});
         emit(cancel_work{key});
         runAdmission(work_ended{key, work_result::Cancelled});
@@ -165,7 +165,7 @@
     if (found == m_active.end()) {
         return;
     }
-    for (const relay_output &each : found->second.relay.step(event, m_now)) {
+    for (const relay_output &each : found->second.step(event, m_now)) {
         relayed(key, each);
     }
 }
@@ -222,6 +222,9 @@
     for (const auto &[link, peer] : m_links) {
         if (peer.role == process_role::Entry) {
             const bool accepting = !closedBecause();
+            const auto isOwn = [id = link](const auto &each) { return each.first.link == id; };
+            const auto own
+                = static_cast<std::uint32_t>(std::count_if(m_active.begin(), m_active.end(), isOwn) + std::count_if(m_queued.begin(), m_queued.end(), isOwn));
             emit(send_to_link{link,
                               load_report{m_group.group,
                                           m_group.epoch,
@@ -230,7 +233,7 @@
                                           m_admission.running(),
                                           m_admission.waiting(),
                                           m_admission.limit(),
-                                          peer.arrived,
+                                          own,
                                           m_cachedPrefix}});
         }
     }
--- a/src/backend_pipe/backend_pipe_fence.cpp
+++ b/src/backend_pipe/backend_pipe_fence.cpp
@@ -51,9 +51,6 @@
     if (changed) {
         breakAll();
         m_leads = current.group.value() != 0 && current.hosts.front() == m_options.host;
-        for (auto &[link, peer] : m_links) {
-            peer.arrived = 0;
-        }
         const host_id lead = current.hosts.empty() ? host_id() : current.hosts.front();
         runMemberLease(member_assigned{current.group, current.epoch, lead}, link_id());
         group_led led;
--- a/src/request_pipe/request_pipe.cpp
+++ b/src/request_pipe/request_pipe.cpp
@@ -258,7 +258,7 @@
         wanted.insert(lead->agent);
         const bool takesWork = record.state == group_state::Active && fleet.acceptsWork(lead->zone) && !lead->leaving;
         if (takesWork && m_connected.contains(lead->agent)) {
-            groups.groups.push_back({group, record.epoch, record.service, lead->zone, lead->agent});
+            groups.groups.push_back({group, record.epoch, record.service, lead->zone, lead->agent, lead->warmLimit});
         }
     }
     m_router.step(groups, m_now);
--- a/src/request_pipe/request_pipe_attempts.cpp
+++ b/src/request_pipe/request_pipe_attempts.cpp
@@ -42,6 +42,7 @@
     flow.attempt = next(flow.attempt);
     flow.sentAt = m_now;
     flow.firstByteAt.reset();
+    flow.waited = duration(0);
     flow.creditOwed = 0;
     flow.assembler.step(attempt_begins{flow.attempt}, m_now);
     const caller_request &in = flow.request;
@@ -66,8 +67,9 @@
 
 void request_pipe::endAttempt(flow &flow, attempt_result outcome)
 {
-    const duration firstToken = flow.firstByteAt ? elapsed(flow.sentAt, *flow.firstByteAt) : duration(0);
-    for (const router_output &each : m_router.step(attempt_ended{flow.group.group, outcome, firstToken, elapsed(flow.sentAt, m_now)}, m_now)) {
+    const auto served = [&](time_point until) { return std::max(duration(0), elapsed(flow.sentAt, until) - flow.waited); };
+    const duration firstToken = served(flow.firstByteAt.value_or(m_now));
+    for (const router_output &each : m_router.step(attempt_ended{flow.group.group, outcome, firstToken, served(m_now)}, m_now)) {
         std::visit([this](const auto &note) { emit(note); }, each);
     }
 }
@@ -145,6 +147,9 @@
     if (flow == nullptr) {
         return;
     }
+    if (const auto *head = std::get_if<answer_head>(&frame); head != nullptr && head->attempt == flow->attempt) {
+        flow->waited = head->waited;
+    }
     for (const assembler_output &each : flow->assembler.step(frame, m_now)) {
         assembled(*flow, each);
         flow = find(request, agent);
--- a/src/request_pipe/router.cpp
+++ b/src/request_pipe/router.cpp
@@ -9,6 +9,9 @@
 /** Weight of the newest sample in a moving average. */
 static constexpr double newestSampleWeight = 0.2;
 
+/** Weight of the newest report in the average of what other entries have at a group. */
+static constexpr double newestReportWeight = 0.3;
+
 /** Assumed before the first sample of any group of the service. */
 static constexpr double assumedFirstTokenMs = 200;
 static constexpr double assumedTotalMs = 1'000;
@@ -77,10 +80,14 @@
     if (found == m_groups.end() || found->second.group.epoch != in.report.epoch) {
         return;
     }
-    found->second.report = in.report;
-    found->second.refusedSinceReport = false;
-    found->second.reportedAt = now;
-    found->second.reported = true;
+    group_view &view = found->second;
+    const std::uint32_t total = in.report.running + in.report.waiting;
+    const double others = total > in.report.own ? total - in.report.own : 0;
+    view.othersLoad = view.reported ? view.othersLoad + newestReportWeight * (others - view.othersLoad) : others;
+    view.report = in.report;
+    view.refusedSinceReport = false;
+    view.reportedAt = now;
+    view.reported = true;
     if (in.report.cachedPrefix == 0) {
         return;
     }
@@ -92,10 +99,9 @@
     m_prefixes[in.report.cachedPrefix] = in.report.group;
 }
 
-static std::uint32_t outstanding(std::uint64_t sent, std::uint32_t inFlight, const load_report &report)
+double router::outstanding(const group_view &view)
 {
-    const std::uint64_t sentSince = sent > report.arrived ? sent - report.arrived : 0;
-    return std::max(inFlight, report.running + report.waiting + static_cast<std::uint32_t>(sentSince));
+    return view.inFlight + view.othersLoad;
 }
 
 bool router::isOpen(const group_view &view, time_point now) const
@@ -106,8 +112,7 @@
     if (!view.reported) {
         return view.inFlight == 0;
     }
-    return view.report.accepting && !view.refusedSinceReport
-           && outstanding(view.sent, view.inFlight, view.report) < std::max(1U, view.report.limit) * queueFactor;
+    return view.report.accepting && !view.refusedSinceReport && outstanding(view) < std::max(1U, view.report.limit) * queueFactor;
 }
 
 std::vector<router::group_view *> router::candidatesFor(const route_wanted &in, time_point now, std::size_t &known)
@@ -135,10 +140,9 @@
     }
     group_view *chosen = std::visit([&](const auto &policy) { return choose(policy, candidates, in, now); }, m_policy);
     const std::string reason = "wait_ms=" + std::to_string(static_cast<int>(expectedWaitMs(*chosen, in.prefixDigest, now)))
-                               + " outstanding=" + std::to_string(outstanding(chosen->sent, chosen->inFlight, chosen->report))
-                               + " limit=" + std::to_string(chosen->report.limit) + (hasPrefix(*chosen, in.prefixDigest) ? " prefix=cached" : "")
+                               + " outstanding=" + std::to_string(static_cast<int>(outstanding(*chosen))) + " limit=" + std::to_string(chosen->report.limit)
+                               + (hasPrefix(*chosen, in.prefixDigest) ? " prefix=cached" : "")
                                + (chosen->group.zone == m_ownZone ? " zone=own" : " zone=other");
-    ++chosen->sent;
     ++chosen->inFlight;
     if (chosen->probing) {
         out.emplace_back(group_probed{chosen->group.group});
@@ -169,12 +173,14 @@
 {
     const auto [firstToken, total] = expectedTimes(view, now);
     const double limit = std::max(1U, view.report.limit);
-    const double load = outstanding(view.sent, view.inFlight, view.report);
+    const double load = outstanding(view);
     double wait = firstToken;
     if (load >= limit) {
         wait += total * (load - limit + 1) / limit;
     } else {
-        wait += firstToken * load / limit;
+        // What slows an answer down is the batch, not the limit: a cold group that is spared for its low
+        // limit would never show that it can bear more.
+        wait += firstToken * load / std::max(1U, view.group.warmLimit);
     }
     if (hasPrefix(view, prefixDigest)) {
         wait -= firstToken * prefixSaving;
@@ -196,6 +202,7 @@
     if (cached != candidates.end()) {
         sample.push_back(*cached);
     }
+    std::shuffle(sample.begin(), sample.end(), m_random);
     return *std::min_element(sample.begin(), sample.end(), [&](const group_view *left, const group_view *right) {
         return expectedWaitMs(*left, in.prefixDigest, now) < expectedWaitMs(*right, in.prefixDigest, now);
     });
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -26,7 +26,7 @@
     }
     expected.emplace_back("data: [DONE]\n\n");
     bytes += expected.back();
-    answer_relay relay(makeRequest(true, 1));
+    answer_relay relay(makeRequest(true, 1), {});
     std::vector<std::string> seen;
     std::uint32_t credit = 1;
     bool complete = false;
@@ -60,7 +60,7 @@
 
 TEST(AnswerRelay, ACallerThatTakesNothingPausesTheBackendServer)
 {
-    answer_relay relay(makeRequest(true, 0));
+    answer_relay relay(makeRequest(true, 0), {});
     relay.step(backend_started{200, {}}, {});
     bool paused = false;
     for (int i = 0; i < 100; ++i) {
@@ -73,7 +73,7 @@
 
 TEST(AnswerRelay, AStreamWithoutItsLastEventIsBroken)
 {
-    answer_relay relay(makeRequest(true, 10));
+    answer_relay relay(makeRequest(true, 10), {});
     relay.step(backend_started{200, {}}, {});
     relay.step(backend_bytes{"data: x\n\ndata: y"}, {});
     const auto out = relay.step(backend_finished{}, {});
@@ -86,7 +86,7 @@
 
 TEST(AnswerRelay, ACallThatNeverStartedSaysSo)
 {
-    answer_relay relay(makeRequest(false, 10));
+    answer_relay relay(makeRequest(false, 10), {});
     const auto out = relay.step(backend_failed{true}, {});
     ASSERT_EQ(out.size(), 1U);
     EXPECT_TRUE(std::get<relay_done>(out[0]).neverStarted);
--- /dev/null
+++ b/tests/request/request_pipe_test.cpp
@@ -0,0 +1,369 @@
+#include <carawayloft/request/request_pipe.h>
+
+#include "support/properties.h"
+
+using namespace carawayloft;
+
+static const service_id model("drafting-models");
+static const service_id records("checklist-records");
+static const time_point start(std::chrono::hours(1));
+static constexpr wall_time wallStart{std::chrono::hours(1'000'000)};
+
+namespace {
+
+/** An entry's pipe with two groups of each service, and a list of what it put out. */
+class pipe_driver
+{
+public:
+    pipe_driver()
+        : m_pipe({availability_zone_id("mid-a")})
+    {
+        fleet_state fleet;
+        std::uint64_t at = 0;
+        const auto apply = [&](fleet_change change) { (void)fleet.apply({{}, "test", {}, std::move(change)}, revision(++at)); };
+        apply(put_service{{model, service_kind::Model, 1, {}}});
+        apply(put_service{{records, service_kind::Plain, 1, {}}});
+        apply(put_account{{client_account_id("closedesk"), "digest", 1, 100}});
+        for (const auto &[name, service] : {std::pair("m1", model), std::pair("m2", model), std::pair("r1", records), std::pair("r2", records)}) {
+            host_record host;
+            host.host = host_id(name);
+            host.zone = availability_zone_id("mid-a");
+            host.service = service;
+            host.agent = endpoint(name);
+            apply(put_host{host});
+            apply(create_group{service, {host.host}});
+        }
+        step(control_message{publish_snapshot{fleet.snapshot()}});
+        for (const auto &[id, group] : fleet.groups()) {
+            const endpoint agent(group.hosts.front().value());
+            step(agent_connected{agent});
+            step(agent_message{agent, load_report{group.group, group.epoch, true, false, 0, 0, 100, 0, 0}});
+        }
+        m_out.clear();
+    }
+
+    const std::vector<request_pipe_output> &step(const request_pipe_input &in)
+    {
+        m_out = m_pipe.step(in, m_now);
+        return m_out;
+    }
+
+    /** Lets time pass and then ticks. */
+    const std::vector<request_pipe_output> &pass(duration time)
+    {
+        m_now += time;
+        m_wall += time;
+        return step(request_tick{m_wall});
+    }
+
+    caller_request makeRequest(std::uint64_t id, const service_id &service, const std::string &key = {}) const
+    {
+        caller_request request;
+        request.request = request_id(id);
+        request.keyDigest = "digest";
+        request.key = idempotency_key(key);
+        request.service = service;
+        request.kind = service == model ? service_kind::Model : service_kind::Plain;
+        request.stream = service == model;
+        request.method = "POST";
+        request.timeLimit = duration(10'000);
+        request.receivedAt = m_wall;
+        return request;
+    }
+
+    /** The first output of this kind of the last step, or nullptr. */
+    template<class Output>
+    const Output *find() const
+    {
+        for (const request_pipe_output &each : m_out) {
+            if (const auto *found = std::get_if<Output>(&each)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    /** The request that the last step dispatched, with the agent it went to. */
+    const dispatch_request *dispatched(endpoint *agent = nullptr) const
+    {
+        for (const request_pipe_output &each : m_out) {
+            const auto *sent = std::get_if<send_to_agent>(&each);
+            const auto *request = sent == nullptr ? nullptr : std::get_if<dispatch_request>(&sent->message);
+            if (request != nullptr) {
+                if (agent != nullptr) {
+                    *agent = sent->agent;
+                }
+                return request;
+            }
+        }
+        return nullptr;
+    }
+
+    template<class Call>
+    const Call *callToControl() const
+    {
+        for (const request_pipe_output &each : m_out) {
+            const auto *sent = std::get_if<send_to_control>(&each);
+            const auto *call = sent == nullptr ? nullptr : std::get_if<Call>(&sent->message);
+            if (call != nullptr) {
+                return call;
+            }
+        }
+        return nullptr;
+    }
+
+    request_pipe &pipe()
+    {
+        return m_pipe;
+    }
+
+private:
+    request_pipe m_pipe;
+    time_point m_now = start;
+    wall_time m_wall = wallStart;
+    std::vector<request_pipe_output> m_out;
+};
+
+} // namespace
+
+TEST(RequestPipe, ASignOffIsNotSentBeforeItsClaimIsGrantedAndIsAnsweredAfterItsRecord)
+{
+    pipe_driver driver;
+    driver.step(driver.makeRequest(1, records, "k"));
+    EXPECT_EQ(driver.dispatched(), nullptr);
+    const auto *open = driver.callToControl<open_claim_call>();
+    ASSERT_NE(open, nullptr);
+    driver.step(control_message{claim_call_reply{open->call, true, {claim_verdict::Granted, 0, {}, {}}}});
+    endpoint agent;
+    const dispatch_request *sent = driver.dispatched(&agent);
+    ASSERT_NE(sent, nullptr);
+    const attempt_number attempt = sent->attempt;
+    driver.step(agent_message{agent, answer_head{request_id(1), attempt, 200, "application/json", {}}});
+    driver.step(agent_message{agent, answer_chunk{request_id(1), attempt, stream_offset(0), "{}"}});
+    driver.step(agent_message{agent, answer_end{request_id(1), attempt, stream_offset(1), answer_ending::Complete}});
+    EXPECT_EQ(driver.find<finish_answer>(), nullptr);
+    const auto *close = driver.callToControl<close_claim_call>();
+    ASSERT_NE(close, nullptr);
+    EXPECT_EQ(close->claim.outcome, claim_outcome::Answered);
+    EXPECT_EQ(close->claim.body, "{}");
+    driver.step(control_message{claim_call_reply{close->call, true, {claim_verdict::Closed, 0, {}, {}}}});
+    EXPECT_NE(driver.find<finish_answer>(), nullptr);
+}
+
+TEST(RequestPipe, ALostConnectionAfterDispatchMakesASignOffUnknownAndNeverRepeatsIt)
+{
+    pipe_driver driver;
+    driver.step(driver.makeRequest(1, records, "k"));
+    driver.step(control_message{claim_call_reply{driver.callToControl<open_claim_call>()->call, true, {claim_verdict::Granted, 0, {}, {}}}});
+    endpoint agent;
+    ASSERT_NE(driver.dispatched(&agent), nullptr);
+    driver.step(agent_lost{agent});
+    EXPECT_EQ(driver.dispatched(), nullptr);
+    ASSERT_NE(driver.find<reject_caller>(), nullptr);
+    EXPECT_EQ(driver.find<reject_caller>()->outcome, run_outcome::Unknown);
+    EXPECT_EQ(driver.callToControl<close_claim_call>()->claim.outcome, claim_outcome::Unknown);
+}
+
+TEST(RequestPipe, ARefusedSignOffGoesElsewhereUnderItsClaimAndWithoutOneIsGivenBack)
+{
+    pipe_driver driver;
+    driver.step(driver.makeRequest(1, records, "k"));
+    driver.step(control_message{claim_call_reply{driver.callToControl<open_claim_call>()->call, true, {claim_verdict::Granted, 0, {}, {}}}});
+    endpoint first;
+    const attempt_number attempt = driver.dispatched(&first)->attempt;
+    driver.step(agent_message{first, request_refused{request_id(1), attempt, refusal_reason::ZoneOut, {}}});
+    endpoint second;
+    ASSERT_NE(driver.dispatched(&second), nullptr);
+    EXPECT_NE(first, second);
+
+    driver.step(driver.makeRequest(2, records));
+    endpoint agent;
+    const attempt_number only = driver.dispatched(&agent)->attempt;
+    driver.step(agent_message{agent, request_refused{request_id(2), only, refusal_reason::Overloaded, duration(2'000)}});
+    EXPECT_EQ(driver.dispatched(), nullptr);
+    ASSERT_NE(driver.find<reject_caller>(), nullptr);
+    EXPECT_EQ(driver.find<reject_caller>()->outcome, run_outcome::DidNotRun);
+    EXPECT_EQ(driver.find<reject_caller>()->retryAfter, duration(2'000));
+}
+
+TEST(RequestPipe, AStreamResumesAtItsOffset)
+{
+    pipe_driver driver;
+    driver.step(driver.makeRequest(1, model));
+    endpoint agent;
+    const attempt_number attempt = driver.dispatched(&agent)->attempt;
+    driver.step(agent_message{agent, answer_head{request_id(1), attempt, 200, "text/event-stream", {}}});
+    driver.step(agent_message{agent, answer_chunk{request_id(1), attempt, stream_offset(0), "a"}});
+    driver.step(agent_message{agent, answer_chunk{request_id(1), attempt, stream_offset(1), "b"}});
+    driver.step(agent_lost{agent});
+    endpoint next;
+    const dispatch_request *again = driver.dispatched(&next);
+    ASSERT_NE(again, nullptr);
+    EXPECT_EQ(again->resumeAt, stream_offset(2));
+    EXPECT_GT(again->attempt, attempt);
+    EXPECT_NE(next, agent);
+    EXPECT_NE(driver.find<stream_resumed>(), nullptr);
+    // A late frame of the lost attempt changes nothing.
+    driver.step(agent_message{next, answer_chunk{request_id(1), attempt, stream_offset(2), "x"}});
+    EXPECT_EQ(driver.find<continue_answer>(), nullptr);
+}
+
+TEST(RequestPipe, ACallerWhoTakesNothingGetsNoMoreCredit)
+{
+    pipe_driver driver;
+    driver.step(driver.makeRequest(1, model));
+    endpoint agent;
+    const dispatch_request sent = *driver.dispatched(&agent);
+    driver.step(agent_message{agent, answer_head{request_id(1), sent.attempt, 200, {}, {}}});
+    std::uint32_t granted = 0;
+    const auto count = [&] {
+        const auto *grant = driver.find<send_to_agent>();
+        granted += grant == nullptr ? 0 : std::get<grant_credit>(grant->message).chunks;
+    };
+    for (std::uint64_t i = 0; i < sent.credit; ++i) {
+        driver.step(agent_message{agent, answer_chunk{request_id(1), sent.attempt, stream_offset(i), "x"}});
+        count();
+    }
+    EXPECT_EQ(granted, 0U);
+    for (std::uint64_t i = 0; i < sent.credit; ++i) {
+        driver.step(caller_took{request_id(1)});
+        count();
+    }
+    EXPECT_EQ(granted, sent.credit);
+}
+
+TEST(RequestPipe, AStoppingEntryTakesNothingNewAndFinishesTheRest)
+{
+    pipe_driver driver;
+    driver.step(driver.makeRequest(1, model));
+    endpoint agent;
+    const attempt_number attempt = driver.dispatched(&agent)->attempt;
+    driver.step(request_stop{});
+    EXPECT_EQ(driver.find<requests_drained>(), nullptr);
+    driver.step(driver.makeRequest(2, model));
+    ASSERT_NE(driver.find<reject_caller>(), nullptr);
+    EXPECT_EQ(driver.find<reject_caller>()->outcome, run_outcome::DidNotRun);
+    driver.step(agent_message{agent, answer_head{request_id(1), attempt, 200, {}, {}}});
+    driver.step(agent_message{agent, answer_end{request_id(1), attempt, stream_offset(0), answer_ending::Complete}});
+    EXPECT_NE(driver.find<requests_drained>(), nullptr);
+}
+
+/**
+ * The naive version: a log of what agents ran. Agents answer, refuse, break off or vanish, control
+ * answers late or not at all, and time passes. Each request gets exactly one end; a sign-off runs at
+ * most once; what is said not to have run did not.
+ */
+RC_GTEST_PROP(RequestPipeProperty, EveryRequestEndsOnceAndNothingRunsTwice, ())
+{
+    pipe_driver driver;
+    struct attempt {
+        endpoint agent;
+        dispatch_request request;
+    };
+    std::vector<attempt> open;
+    std::vector<std::uint64_t> claims;
+    std::map<std::uint64_t, close_claim> closes;
+    std::map<request_id, int> ran;
+    std::map<request_id, int> ended;
+    std::map<request_id, bool> isSignOff;
+    const auto look = [&](const std::vector<request_pipe_output> &outputs) {
+        for (const request_pipe_output &each : outputs) {
+            if (const auto *sent = std::get_if<send_to_agent>(&each)) {
+                if (const auto *request = std::get_if<dispatch_request>(&sent->message)) {
+                    open.push_back({sent->agent, *request});
+                }
+            } else if (const auto *call = std::get_if<send_to_control>(&each)) {
+                if (const auto *claim = std::get_if<open_claim_call>(&call->message)) {
+                    claims.push_back(claim->call);
+                } else if (const auto *close = std::get_if<close_claim_call>(&call->message)) {
+                    closes[close->call] = close->claim;
+                }
+            } else if (const auto *rejected = std::get_if<reject_caller>(&each)) {
+                ++ended[rejected->request];
+                const bool ranAtAll = ran[rejected->request] > 0;
+                RC_ASSERT(!(rejected->outcome == run_outcome::DidNotRun && ranAtAll && isSignOff[rejected->request]));
+            } else if (const auto *finished = std::get_if<finish_answer>(&each)) {
+                ++ended[finished->request];
+            } else if (const auto *cut = std::get_if<cut_answer>(&each)) {
+                ++ended[cut->request];
+            }
+        }
+    };
+    std::uint64_t last = 0;
+    const auto anAttempt = [&] {
+        const auto place = static_cast<std::ptrdiff_t>(*rc::gen::inRange<std::size_t>(0, open.size()));
+        const attempt chosen = open[static_cast<std::size_t>(place)];
+        open.erase(open.begin() + place);
+        return chosen;
+    };
+    const auto answer = [&](const attempt &of, answer_ending ending) {
+        ++ran[of.request.request];
+        RC_ASSERT(!(isSignOff[of.request.request] && ran[of.request.request] > 1));
+        look(driver.step(agent_message{of.agent, answer_head{of.request.request, of.request.attempt, 200, {}, {}}}));
+        look(driver.step(agent_message{of.agent, answer_chunk{of.request.request, of.request.attempt, of.request.resumeAt, "x"}}));
+        look(driver.step(agent_message{of.agent, answer_end{of.request.request, of.request.attempt, next(of.request.resumeAt), ending}}));
+    };
+    const int steps = *rc::gen::inRange(1, 120);
+    for (int i = 0; i < steps; ++i) {
+        switch (*rc::gen::inRange(0, 9)) {
+        case 0:
+        case 1: {
+            const bool signOff = *rc::gen::arbitrary<bool>();
+            const bool withKey = *rc::gen::arbitrary<bool>();
+            isSignOff[request_id(++last)] = signOff;
+            look(driver.step(driver.makeRequest(last, signOff ? records : model, withKey ? "k" + std::to_string(last) : std::string())));
+            break;
+        }
+        case 2:
+            if (!claims.empty()) {
+                const std::uint64_t call = claims.front();
+                claims.erase(claims.begin());
+                const auto verdict = static_cast<claim_verdict>(*rc::gen::inRange(0, 4));
+                look(driver.step(control_message{claim_call_reply{call, *rc::gen::arbitrary<bool>(), {verdict, 200, {}, "recorded"}}}));
+            }
+            break;
+        case 3:
+            if (!closes.empty()) {
+                const std::uint64_t call = closes.begin()->first;
+                closes.erase(closes.begin());
+                look(driver.step(control_message{claim_call_reply{call, true, {claim_verdict::Closed, 0, {}, {}}}}));
+            }
+            break;
+        case 4:
+            if (!open.empty()) {
+                answer(anAttempt(), answer_ending::Complete);
+            }
+            break;
+        case 5:
+            if (!open.empty()) {
+                answer(anAttempt(), answer_ending::Broken);
+            }
+            break;
+        case 6:
+            if (!open.empty()) {
+                const attempt of = anAttempt();
+                look(driver.step(agent_message{of.agent, request_refused{of.request.request, of.request.attempt, refusal_reason::Overloaded, {}}}));
+            }
+            break;
+        case 7: {
+            const endpoint agent(*rc::gen::element<std::string>("m1", "m2", "r1", "r2"));
+            look(driver.step(agent_lost{agent}));
+            look(driver.step(agent_connected{agent}));
+            break;
+        }
+        default:
+            look(driver.pass(duration(*rc::gen::inRange(0, 3'000))));
+        }
+        for (const auto &[request, ends] : ended) {
+            RC_ASSERT(ends == 1);
+        }
+    }
+    // Every request that is left ends at its deadline at the latest.
+    for (int i = 0; i < 5; ++i) {
+        look(driver.pass(duration(11'000)));
+    }
+    RC_ASSERT(driver.pipe().inFlight() == 0U);
+    for (const auto &[request, signOff] : isSignOff) {
+        RC_ASSERT(ended[request] == 1);
+    }
+}
--- a/tests/request/router_test.cpp
+++ b/tests/request/router_test.cpp
@@ -9,12 +9,12 @@
 
 static routable_group makeGroup(std::uint64_t id, const std::string &zone = "mid-a")
 {
-    return {group_id(id), group_epoch(id), model, availability_zone_id(zone), endpoint("127.0.0.1:" + std::to_string(id))};
+    return {group_id(id), group_epoch(id), model, availability_zone_id(zone), endpoint("127.0.0.1:" + std::to_string(id)), 8};
 }
 
-static load_reported makeReport(std::uint64_t id, std::uint32_t running, std::uint32_t limit, std::uint64_t arrived = 0, bool accepting = true)
+static load_reported makeReport(std::uint64_t id, std::uint32_t running, std::uint32_t limit, std::uint32_t own = 0, bool accepting = true)
 {
-    return {{group_id(id), group_epoch(id), accepting, false, running, 0, limit, arrived, 0}};
+    return {{group_id(id), group_epoch(id), accepting, false, running, 0, limit, own, 0}};
 }
 
 static group_id chosenBy(router &router, std::uint64_t request, time_point now, std::set<group_id> refusedBy = {}, std::uint64_t prefix = 0)
@@ -27,7 +27,7 @@
     return {};
 }
 
-TEST(Router, CountsWhatWasSentSinceALateReport)
+TEST(Router, CountsItsOwnRequestsAtOnceAndThoseOfOthersFromLateReports)
 {
     router router(availability_zone_id("mid-a"), expected_wait_policy{}, 1);
     router.step(groups_changed{{makeGroup(1), makeGroup(2)}}, start);
