One filter takes publications for every process

Cause: the request and the backend pipe each had the same code for what follows from a publication, and each task the same code for its outputs. Change: published_fleet is a filter with those outputs and stands in the order pipe; control_session acts on them for any task.

--- a/include/carawayloft/backend/backend_pipe.h
+++ b/include/carawayloft/backend/backend_pipe.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <carawayloft/backend/backend_messages.h>
-#include <carawayloft/request/published_fleet.h>
+#include <carawayloft/order/published_fleet.h>
 
 #include <deque>
 #include <map>
@@ -66,7 +66,7 @@
     void take(const agent_stop &in);
 
     // Fence.
-    void applied(publication_result outcome, revision at);
+    void publish(const published_fleet::input &in);
     void refreshAssignment();
     void granted(const lease_grant &grant);
     void updateGate();
--- a/include/carawayloft/request/published_fleet.h
+++ b/include/carawayloft/order/published_fleet.h
@@ -1,24 +1,20 @@
 #pragma once
 
-#include <carawayloft/messages/control_messages.h>
+#include <carawayloft/core/filter.h>
+#include <carawayloft/messages/control_traffic.h>
 
 #include <variant>
 
 namespace carawayloft {
 
-/** What came of a publication. */
-enum class publication_result : std::uint8_t {
-    Applied,
-    Stale, /**< Not newer than what is in force; passed over. */
-    Gap, /**< Changes in between are missing; subscribe again. */
-};
-
 /** A process's copy of the configuration: built from publications, never going back. */
 class published_fleet
 {
 public:
-    publication_result apply(const publish_snapshot &publication);
-    publication_result apply(const publish_change &publication);
+    using input = std::variant<publish_snapshot, publish_change>;
+    using output = std::variant<send_to_control, resubscribe, revision_in_force, revision_ignored>;
+
+    std::vector<output> step(const input &in, time_point now);
 
     /** Whether a publication confirmed by a quorum has arrived since this process started. */
     bool isConfirmed() const
@@ -31,8 +27,14 @@
     }
 
 private:
+    std::vector<output> take(const publish_snapshot &in);
+    std::vector<output> take(const publish_change &in);
+    std::vector<output> applied() const;
+
     fleet_state m_state;
     bool m_confirmed = false;
 };
 
+static_assert(filter<published_fleet>);
+
 } // namespace carawayloft
--- a/include/carawayloft/request/request_pipe.h
+++ b/include/carawayloft/request/request_pipe.h
@@ -2,7 +2,7 @@
 
 #include <carawayloft/request/account_limiter.h>
 #include <carawayloft/request/caller_messages.h>
-#include <carawayloft/request/published_fleet.h>
+#include <carawayloft/order/published_fleet.h>
 #include <carawayloft/request/retry_budget.h>
 #include <carawayloft/request/stream_assembler.h>
 
@@ -101,7 +101,7 @@
     void take(const request_stop &in);
 
     // Configuration.
-    void applied(publication_result outcome, revision at);
+    void publish(const published_fleet::input &in);
     void refreshGroups();
 
     // Identify and limit.
--- a/src/backend_pipe/backend_pipe_fence.cpp
+++ b/src/backend_pipe/backend_pipe_fence.cpp
@@ -11,28 +11,22 @@
 void backend_pipe::take(const control_message &in)
 {
     std::visit(overloaded{
-                   [&](const publish_snapshot &message) { applied(m_fleet.apply(message), message.fleet.at); },
-                   [&](const publish_change &message) { applied(m_fleet.apply(message), message.at); },
+                   [&](const publish_snapshot &message) { publish(message); },
+                   [&](const publish_change &message) { publish(message); },
                    [&](const lease_grant &message) { granted(message); },
                    [](const auto &) {},
                },
                in.message);
 }
 
-void backend_pipe::applied(publication_result outcome, revision at)
+void backend_pipe::publish(const published_fleet::input &in)
 {
-    switch (outcome) {
-    case publication_result::Applied:
+    const revision before = m_fleet.state().at();
+    for (const published_fleet::output &each : m_fleet.step(in, m_now)) {
+        std::visit([this](const auto &out) { emit(out); }, each);
+    }
+    if (m_fleet.state().at() != before) {
         refreshAssignment();
-        emit(send_to_control{confirm_revision{m_fleet.state().at()}});
-        emit(revision_in_force{m_fleet.state().at()});
-        return;
-    case publication_result::Stale:
-        emit(revision_ignored{at, m_fleet.state().at()});
-        return;
-    case publication_result::Gap:
-        emit(resubscribe{m_fleet.state().at()});
-        return;
     }
 }
 
--- /dev/null
+++ b/src/order_pipe/published_fleet.cpp
@@ -0,0 +1,38 @@
+#include <carawayloft/order/published_fleet.h>
+
+namespace carawayloft {
+
+std::vector<published_fleet::output> published_fleet::step(const input &in, time_point)
+{
+    return std::visit([this](const auto &each) { return take(each); }, in);
+}
+
+std::vector<published_fleet::output> published_fleet::applied() const
+{
+    return {send_to_control{confirm_revision{m_state.at()}}, revision_in_force{m_state.at()}};
+}
+
+std::vector<published_fleet::output> published_fleet::take(const publish_snapshot &in)
+{
+    if (m_confirmed && in.fleet.at <= m_state.at()) {
+        return {revision_ignored{in.fleet.at, m_state.at()}};
+    }
+    m_confirmed = true;
+    m_state.restore(in.fleet);
+    return applied();
+}
+
+std::vector<published_fleet::output> published_fleet::take(const publish_change &in)
+{
+    if (in.at <= m_state.at()) {
+        return {revision_ignored{in.at, m_state.at()}};
+    }
+    if (!m_confirmed || in.after != m_state.at()) {
+        return {resubscribe{m_state.at()}};
+    }
+    // A refusal is part of the agreed history, and changes nothing here either.
+    (void)m_state.apply(in.command, in.at);
+    return applied();
+}
+
+} // namespace carawayloft
--- a/src/request_pipe/request_pipe.cpp
+++ b/src/request_pipe/request_pipe.cpp
@@ -213,8 +213,8 @@
 void request_pipe::take(const control_message &in)
 {
     std::visit(overloaded{
-                   [&](const publish_snapshot &message) { applied(m_fleet.apply(message), message.fleet.at); },
-                   [&](const publish_change &message) { applied(m_fleet.apply(message), message.at); },
+                   [&](const publish_snapshot &message) { publish(message); },
+                   [&](const publish_change &message) { publish(message); },
                    [&](const claim_call_reply &message) {
                        decideClaim(message);
                        claimClosed(message);
@@ -224,20 +224,14 @@
                in.message);
 }
 
-void request_pipe::applied(publication_result outcome, revision at)
+void request_pipe::publish(const published_fleet::input &in)
 {
-    switch (outcome) {
-    case publication_result::Applied:
+    const revision before = m_fleet.state().at();
+    for (const published_fleet::output &each : m_fleet.step(in, m_now)) {
+        std::visit([this](const auto &out) { emit(out); }, each);
+    }
+    if (m_fleet.state().at() != before) {
         refreshGroups();
-        emit(send_to_control{confirm_revision{m_fleet.state().at()}});
-        emit(revision_in_force{m_fleet.state().at()});
-        return;
-    case publication_result::Stale:
-        emit(revision_ignored{at, m_fleet.state().at()});
-        return;
-    case publication_result::Gap:
-        emit(resubscribe{m_fleet.state().at()});
-        return;
     }
 }
 
--- a/src/tasks/agent_task.cpp
+++ b/src/tasks/agent_task.cpp
@@ -205,11 +205,6 @@
     m_members.send(out.agent, out.message);
 }
 
-void agent_task::act(const send_to_control &out)
-{
-    m_control.send(out.message);
-}
-
 void agent_task::act(const start_work &out)
 {
     const dispatch_request &request = out.request;
@@ -282,21 +277,6 @@
     });
 }
 
-void agent_task::act(const resubscribe &out)
-{
-    m_control.subscribeFrom(out.from);
-}
-
-void agent_task::act(const revision_in_force &out)
-{
-    logEvent(event_number::RevisionInForce, {{"revision", out.at}});
-}
-
-void agent_task::act(const revision_ignored &out)
-{
-    logEvent(event_number::RevisionIgnored, {{"revision", out.at}, {"in_force", out.inForce}});
-}
-
 void agent_task::act(const group_whole &out)
 {
     logEvent(event_number::GroupWhole, {{"group", out.group}});
--- a/src/tasks/agent_task.h
+++ b/src/tasks/agent_task.h
@@ -39,16 +39,17 @@
     void overdue();
 
     void run(const backend_pipe_input &in);
+    template<control_output Output>
+    void act(const Output &out)
+    {
+        m_control.act(out);
+    }
     void act(const send_to_link &out);
     void act(const send_to_member &out);
-    void act(const send_to_control &out);
     void act(const start_work &out);
     void act(const cancel_work &out);
     void act(const pace_work &out);
     void act(const give_order &out);
-    void act(const resubscribe &out);
-    void act(const revision_in_force &out);
-    void act(const revision_ignored &out);
     void act(const group_whole &out);
     void act(const group_silenced &out);
     void act(const limit_changed &out);
--- a/src/tasks/control_session.cpp
+++ b/src/tasks/control_session.cpp
@@ -48,21 +48,31 @@
 
 void control_session::act(const ask_control &)
 {
-    subscribeFrom(m_inForce());
+    act(resubscribe{m_inForce()});
 }
 
-void control_session::subscribeFrom(revision from)
+void control_session::act(const resubscribe &out)
 {
-    send(subscribe{from});
+    act(send_to_control{subscribe{out.from}});
 }
 
-void control_session::send(const peer_message &message)
+void control_session::act(const send_to_control &out)
 {
     if (m_link && m_link->isOpen()) {
-        m_link->send(message);
+        m_link->send(out.message);
     }
 }
 
+void control_session::act(const revision_in_force &out)
+{
+    logEvent(event_number::RevisionInForce, {{"revision", out.at}});
+}
+
+void control_session::act(const revision_ignored &out)
+{
+    logEvent(event_number::RevisionIgnored, {{"revision", out.at}, {"in_force", out.inForce}});
+}
+
 void control_session::take(const std::shared_ptr<frame_link> &, link_event event)
 {
     std::visit(overloaded{
--- a/src/tasks/control_session.h
+++ b/src/tasks/control_session.h
@@ -3,6 +3,7 @@
 #include "ends/frame_link.h"
 #include "ends/timer_service.h"
 
+#include <carawayloft/messages/control_traffic.h>
 #include <carawayloft/order/leader_finder.h>
 
 #include <asio/io_context.hpp>
@@ -20,10 +21,11 @@
     ~control_session();
 
     /** Sends to the leader if it is known and reached; else the message is dropped. */
-    void send(const peer_message &message);
+    void act(const send_to_control &out);
 
-    /** Asks for everything from @p from on. */
-    void subscribeFrom(revision from);
+    void act(const resubscribe &out);
+    void act(const revision_in_force &out);
+    void act(const revision_ignored &out);
 
 private:
     void run(const leader_finder::input &in);
@@ -42,4 +44,11 @@
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
+/** An output that a control session acts on. */
+template<class Output>
+concept control_output = requires(control_session session, const Output &out)
+{
+    session.act(out);
+};
+
 } // namespace carawayloft
--- a/src/tasks/entry_task.cpp
+++ b/src/tasks/entry_task.cpp
@@ -349,31 +349,11 @@
     m_agents.send(out.agent, out.message);
 }
 
-void entry_task::act(const send_to_control &out)
-{
-    m_control.send(out.message);
-}
-
 void entry_task::act(const agents_wanted &out)
 {
     m_agents.setWanted({out.agents.begin(), out.agents.end()});
 }
 
-void entry_task::act(const resubscribe &out)
-{
-    m_control.subscribeFrom(out.from);
-}
-
-void entry_task::act(const revision_in_force &out)
-{
-    logEvent(event_number::RevisionInForce, {{"revision", out.at}});
-}
-
-void entry_task::act(const revision_ignored &out)
-{
-    logEvent(event_number::RevisionIgnored, {{"revision", out.at}, {"in_force", out.inForce}});
-}
-
 void entry_task::act(const route_chosen &out)
 {
     logEvent(event_number::RouteChosen,
--- a/src/tasks/entry_task.h
+++ b/src/tasks/entry_task.h
@@ -47,17 +47,18 @@
     void overdue();
 
     void run(const request_pipe_input &in);
+    template<control_output Output>
+    void act(const Output &out)
+    {
+        m_control.act(out);
+    }
     void act(const reject_caller &out);
     void act(const start_answer &out);
     void act(const continue_answer &out);
     void act(const finish_answer &out);
     void act(const cut_answer &out);
     void act(const send_to_agent &out);
-    void act(const send_to_control &out);
     void act(const agents_wanted &out);
-    void act(const resubscribe &out);
-    void act(const revision_in_force &out);
-    void act(const revision_ignored &out);
     void act(const route_chosen &out);
     void act(const route_unavailable &out);
     void act(const group_ejected &out);
--- a/tests/order/publisher_test.cpp
+++ b/tests/order/publisher_test.cpp
@@ -1,5 +1,5 @@
+#include <carawayloft/order/published_fleet.h>
 #include <carawayloft/order/publisher.h>
-#include <carawayloft/request/published_fleet.h>
 
 #include "support/properties.h"
 
@@ -26,11 +26,11 @@
                 continue;
             }
             if (const auto *snapshot = std::get_if<publish_snapshot>(&out->message)) {
-                subscriber.apply(*snapshot);
+                subscriber.step(*snapshot, {});
             } else if (const auto *change = std::get_if<publish_change>(&out->message)) {
                 const int copies = *rc::gen::inRange(1, 3);
                 for (int i = 0; i < copies; ++i) {
-                    subscriber.apply(*change);
+                    subscriber.step(*change, {});
                 }
             }
             RC_ASSERT(subscriber.state().at() >= last);
@@ -63,10 +63,18 @@
 TEST(PublishedFleet, IsNotConfirmedBeforeTheFirstSnapshot)
 {
     published_fleet subscriber;
-    EXPECT_EQ(subscriber.apply(publish_change{revision(0), revision(1), zoneChange(1)}), publication_result::Gap);
+    const auto gap = subscriber.step(publish_change{revision(0), revision(1), zoneChange(1)}, {});
+    ASSERT_EQ(gap.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<resubscribe>(gap[0]));
     EXPECT_FALSE(subscriber.isConfirmed());
-    EXPECT_EQ(subscriber.apply(publish_snapshot{}), publication_result::Applied);
+    const auto applied = subscriber.step(publish_snapshot{}, {});
+    ASSERT_EQ(applied.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<send_to_control>(applied[0]));
+    EXPECT_TRUE(std::holds_alternative<revision_in_force>(applied[1]));
     EXPECT_TRUE(subscriber.isConfirmed());
+    const auto again = subscriber.step(publish_snapshot{}, {});
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<revision_ignored>(again[0]));
 }
 
 TEST(Publisher, ReportsWhenAChangeIsInForceEverywhere)
