--- a/include/carawayloft/order/publisher.h
+++ b/include/carawayloft/order/publisher.h
@@ -73,11 +73,17 @@
     void take(const subscriber_left &in, time_point now, std::vector<output> &out);
     void take(const subscriber_confirmed &in, time_point now, std::vector<output> &out);
     void take(const publishing_ended &in, time_point now, std::vector<output> &out);
-    void reportComplete(time_point now, std::vector<output> &out);
+    void settle(revision after, revision upTo, time_point now, std::vector<output> &out);
+
+    /** A change that some subscribers have not confirmed yet. */
+    struct pending_change {
+        time_point since;
+        std::size_t unconfirmed = 0;
+    };
 
     std::map<link_id, revision> m_subscribers; /**< With the revision that each confirmed. */
     std::deque<publish_change> m_recent; /**< Without gaps; serves processes that were away for a moment. */
-    std::map<revision, time_point> m_pending; /**< Changes not yet confirmed by all. */
+    std::map<revision, pending_change> m_pending;
 };
 
 static_assert(filter<publisher>);
--- a/src/order_pipe/order_pipe.cpp
+++ b/src/order_pipe/order_pipe.cpp
@@ -5,7 +5,7 @@
 namespace carawayloft {
 
 /** Time between two looks of the placer at the fleet. */
-static constexpr duration placePeriod{250};
+static constexpr duration placePeriod{500};
 
 /** Time for which a stopping leader waits for another one. */
 static constexpr duration handOverTime{2'000};
--- a/src/order_pipe/publisher.cpp
+++ b/src/order_pipe/publisher.cpp
@@ -27,13 +27,18 @@
         out.emplace_back(publish_to{link, in.change});
     }
     if (!m_subscribers.empty()) {
-        m_pending.emplace(in.change.at, now);
+        m_pending.emplace(in.change.at, pending_change{now, m_subscribers.size()});
     }
 }
 
-void publisher::take(const subscriber_joined &in, time_point, std::vector<output> &out)
+void publisher::take(const subscriber_joined &in, time_point now, std::vector<output> &out)
 {
-    m_subscribers.insert_or_assign(in.link, in.from);
+    // Counted anew before it is taken off, so that a subscriber that asks again completes nothing.
+    for (auto each = m_pending.upper_bound(in.from); each != m_pending.end(); ++each) {
+        ++each->second.unconfirmed;
+    }
+    take(subscriber_left{in.link}, now, out);
+    m_subscribers.emplace(in.link, in.from);
     const auto first = std::find_if(m_recent.begin(), m_recent.end(), [&](const publish_change &each) { return each.after == in.from; });
     if (in.from.value() == 0 || (first == m_recent.end() && in.from != in.fleet.at())) {
         out.emplace_back(publish_to{in.link, publish_snapshot{in.fleet.snapshot()}});
@@ -47,16 +52,19 @@
 
 void publisher::take(const subscriber_left &in, time_point now, std::vector<output> &out)
 {
+    const auto found = m_subscribers.find(in.link);
+    if (found != m_subscribers.end() && !m_pending.empty()) {
+        settle(found->second, m_pending.rbegin()->first, now, out);
+    }
     m_subscribers.erase(in.link);
-    reportComplete(now, out);
 }
 
 void publisher::take(const subscriber_confirmed &in, time_point now, std::vector<output> &out)
 {
     const auto found = m_subscribers.find(in.link);
-    if (found != m_subscribers.end()) {
-        found->second = std::max(found->second, in.at);
-        reportComplete(now, out);
+    if (found != m_subscribers.end() && in.at > found->second) {
+        settle(found->second, in.at, now, out);
+        found->second = in.at;
     }
 }
 
@@ -66,14 +74,17 @@
     m_pending.clear();
 }
 
-void publisher::reportComplete(time_point now, std::vector<output> &out)
+/** One subscriber no longer stands in the way of the changes behind @p after up to @p upTo. */
+void publisher::settle(revision after, revision upTo, time_point now, std::vector<output> &out)
 {
-    const auto least
-        = std::min_element(m_subscribers.begin(), m_subscribers.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
-    while (!m_pending.empty() && least != m_subscribers.end() && m_pending.begin()->first <= least->second) {
-        const auto [at, since] = *m_pending.begin();
-        m_pending.erase(m_pending.begin());
-        out.emplace_back(publication_complete{at, std::chrono::duration_cast<duration>(now - since), m_subscribers.size()});
+    const auto end = m_pending.upper_bound(upTo);
+    for (auto each = m_pending.upper_bound(after); each != end;) {
+        if (--each->second.unconfirmed > 0) {
+            ++each;
+            continue;
+        }
+        out.emplace_back(publication_complete{each->first, std::chrono::duration_cast<duration>(now - each->second.since), m_subscribers.size()});
+        each = m_pending.erase(each);
     }
 }
 
--- a/tests/backend/admission_test.cpp
+++ b/tests/backend/admission_test.cpp
@@ -126,6 +126,17 @@
     EXPECT_NEAR(served["small"], 200, 20);
 }
 
+TEST(Admission, AnAccountThatHasHadLittleGoesBeforeOneThatHasHadMuch)
+{
+    admission admission = makeOpen(1, 1);
+    for (std::uint64_t request = 1; request <= 3; ++request) {
+        admission.step(makeWork(request, "large"), start);
+    }
+    admission.step(makeWork(4, "small"), start);
+    EXPECT_EQ(admittedIn(admission.step(work_ended{makeKey(1), work_result::Done}, start)), std::vector<std::uint64_t>{4});
+    EXPECT_EQ(admittedIn(admission.step(work_ended{makeKey(4), work_result::Done}, start)), std::vector<std::uint64_t>{2});
+}
+
 TEST(Admission, InteractiveWorkGoesBeforeBackgroundWork)
 {
     admission admission = makeOpen(1, 1);
--- a/tests/order/publisher_test.cpp
+++ b/tests/order/publisher_test.cpp
@@ -3,6 +3,8 @@
 
 #include "support/properties.h"
 
+#include <set>
+
 using namespace carawayloft;
 
 static fleet_command zoneChange(std::uint64_t i)
@@ -77,6 +79,71 @@
     EXPECT_TRUE(std::holds_alternative<revision_ignored>(again[0]));
 }
 
+/** The naive version: for each change a set of the subscribers that have not confirmed it. */
+RC_GTEST_PROP(Publisher, ReportsAChangeWhenTheLastSubscriberConfirmedItOrLeft, ())
+{
+    fleet_state fleet;
+    publisher publisher;
+    std::map<std::uint64_t, std::uint64_t> confirmed;
+    std::map<std::uint64_t, std::set<std::uint64_t>> waiting;
+    std::uint64_t last = 0;
+    for (int step = 0; step < 100; ++step) {
+        const auto link = static_cast<std::uint64_t>(*rc::gen::inRange(1, 6));
+        std::vector<publisher_output> out;
+        switch (*rc::gen::inRange(0, 4)) {
+        case 0: {
+            const fleet_command command = zoneChange(last + 1);
+            (void)fleet.apply(command, revision(last + 1));
+            out = publisher.step(change_agreed{publish_change{revision(last), revision(last + 1), command}}, {});
+            ++last;
+            for (const auto &[each, at] : confirmed) {
+                waiting[last].insert(each);
+            }
+            break;
+        }
+        case 1: {
+            const auto from = static_cast<std::uint64_t>(*rc::gen::inRange<std::uint64_t>(0, last + 1));
+            out = publisher.step(subscriber_joined{link_id(link), revision(from), fleet}, {});
+            confirmed[link] = from;
+            for (auto &[at, links] : waiting) {
+                at > from ? void(links.insert(link)) : void(links.erase(link));
+            }
+            break;
+        }
+        case 2:
+            out = publisher.step(subscriber_left{link_id(link)}, {});
+            confirmed.erase(link);
+            for (auto &[at, links] : waiting) {
+                links.erase(link);
+            }
+            break;
+        default: {
+            const auto at = static_cast<std::uint64_t>(*rc::gen::inRange<std::uint64_t>(0, last + 1));
+            out = publisher.step(subscriber_confirmed{link_id(link), revision(at)}, {});
+            for (auto &[each, links] : waiting) {
+                if (confirmed.contains(link) && each <= at) {
+                    links.erase(link);
+                }
+            }
+        }
+        }
+        std::set<std::uint64_t> expected;
+        for (const auto &[at, links] : waiting) {
+            if (links.empty()) {
+                expected.insert(at);
+            }
+        }
+        std::erase_if(waiting, [](const auto &each) { return each.second.empty(); });
+        std::set<std::uint64_t> reported;
+        for (const publisher_output &each : out) {
+            if (const auto *complete = std::get_if<publication_complete>(&each)) {
+                reported.insert(complete->at.value());
+            }
+        }
+        RC_ASSERT(reported == expected);
+    }
+}
+
 TEST(Publisher, ReportsWhenAChangeIsInForceEverywhere)
 {
     publisher publisher;
