--- a/tests/process/at_most_once_test.cpp
+++ b/tests/process/at_most_once_test.cpp
@@ -91,6 +91,24 @@
     EXPECT_LE(runsOf(cluster.callsRun(), body), 1U);
 }
 
+TEST(AtMostOnce, AnEntryFrozenAfterDispatchThatThawsRunsNothingASecondTime)
+{
+    cluster cluster(slowRecords(500));
+    cluster.bringUp();
+    const std::string body = "{\"step\":6}";
+    auto first = askLater(cluster.signOff(1, "k6", body, 1'500));
+    ASSERT_TRUE(cluster.await("the call runs", [&] { return runsOf(cluster.callsRun(), body) == 1; }));
+    cluster.process("entry-1").signal(SIGSTOP);
+    const http_answer resend = ask(cluster.signOff(2, "k6", body, 8'000));
+    EXPECT_EQ(resend.status, 504);
+    EXPECT_EQ(outcomeOf(resend), "unknown");
+    cluster.process("entry-1").signal(SIGCONT);
+    first.get();
+    const http_answer later = ask(cluster.signOff(2, "k6", body, 8'000));
+    EXPECT_TRUE(later.status == 200 || outcomeOf(later) == "unknown") << later.status;
+    EXPECT_EQ(runsOf(cluster.callsRun(), body), 1U);
+}
+
 TEST(AtMostOnce, ACallerWhoHangsUpDoesNotStopASignOff)
 {
     cluster cluster(slowRecords(800));
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -195,6 +195,21 @@
     }));
 }
 
+TEST(Control, AFullDiskRefusesChangesWithARemedy)
+{
+    cluster cluster(onlyControl("min_free_mb = 1000000000000\n"));
+    ASSERT_TRUE(cluster.await("a leader", [&] { return cluster.leader() != 0; }));
+    http_question change;
+    change.method = "POST";
+    change.url = cluster.controlUrl(cluster.leader()) + "/v1/commands";
+    change.body = R"({"type":"put_zone","command_id":"c","author":"tariq","zone":"mid-d","state":"arriving"})";
+    const http_answer refused = ask(change);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_NE(refused.body.find("disk_full"), std::string::npos) << refused.body;
+    EXPECT_NE(refused.body.find("free space"), std::string::npos) << refused.body;
+    EXPECT_EQ(zoneState(cluster, "mid-d"), "");
+}
+
 TEST(Control, HostileFramesCloseTheConnectionAndNothingElse)
 {
     cluster cluster(onlyControl());
--- a/tests/process/group_test.cpp
+++ b/tests/process/group_test.cpp
@@ -89,6 +89,16 @@
     });
 }
 
+TEST(Group, AStreamGoesOnElsewhereWhenItsFabricDomainGoesDarkAtOnce)
+{
+    loseInMidStream([](cluster &cluster, const std::string &lead) {
+        for (const std::string &host : {lead, partnerOf(lead)}) {
+            cluster.process("agent-" + host).kill();
+            cluster.process(host).kill();
+        }
+    });
+}
+
 TEST(Group, AMemberWhoseBackendServerDiedIsMissing)
 {
     loseInMidStream([](cluster &cluster, const std::string &lead) { cluster.process(partnerOf(lead)).kill(); });
