--- a/include/carawayloft/order/order_pipe.h
+++ b/include/carawayloft/order/order_pipe.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <carawayloft/order/control_messages.h>
 #include <carawayloft/order/log_payload.h>
+#include <carawayloft/order/order_messages.h>
 #include <carawayloft/order/publisher.h>
 #include <carawayloft/placement/measures.h>
 
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -49,6 +49,9 @@
     status storeIdentity(replica_id self);
     void askToJoin();
 
+    /** Whether this replica's log has seen an election, or came in later. */
+    bool isFormed() const;
+
     // Frames.
     void linkEvent(const std::shared_ptr<frame_link> &link, link_event event);
     void peerEvent(const endpoint &peer, link_event event);
--- /dev/null
+++ b/src/tasks/control_task_start.cpp
@@ -0,0 +1,236 @@
+#include "tasks/control_task.h"
+
+#include "codec/flat_codec.h"
+#include "codec/payload_codec.h"
+#include "ends/event_log.h"
+#include "tasks/task_identity.h"
+
+#include <algorithm>
+
+namespace carawayloft {
+
+static constexpr duration tickPeriod{20};
+static constexpr duration formationPeriod{100};
+static constexpr duration joinPeriod{500};
+static constexpr const char *identityFile = "identity";
+
+/** The term in which the first members stand before any election. */
+static constexpr log_term formedTerm{1};
+
+namespace {
+
+/** Which replica this disk is; written once, before anything else. */
+struct disk_identity {
+    replica_id replica;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"replica", &disk_identity::replica});
+    }
+};
+
+} // namespace
+
+static result<std::optional<replica_id>> readIdentity(const folder_contents &folder)
+{
+    const auto file = folder.find(identityFile);
+    if (file == folder.end()) {
+        return std::optional<replica_id>();
+    }
+    const auto contents = decodeSegment(file->second);
+    const bool whole = !failed(contents) && valueOf(contents).payloads.size() == 1;
+    const auto identity = whole ? flat::decode<disk_identity>(valueOf(contents).payloads.front()) : std::nullopt;
+    if (!identity) {
+        return error{error_kind::DiskDamaged,
+                     "file identity is damaged",
+                     "remove this replica's data folder and start it again; it rejoins with a copy from the others"};
+    }
+    return std::optional(identity->replica);
+}
+
+static std::vector<log_member> firstMembers(const settings &loaded)
+{
+    std::vector<log_member> members;
+    members.reserve(loaded.control.size());
+    for (const control_peer &each : loaded.control) {
+        members.push_back({makeReplicaId(each.number, initialDiskIncarnation), member_role::Voter, each.frames, each.http});
+    }
+    return members;
+}
+
+static const control_peer &ownPeer(const settings &loaded)
+{
+    return *std::find_if(loaded.control.begin(), loaded.control.end(), [&](const control_peer &each) { return each.number == loaded.replica->number; });
+}
+
+status control_task::openFolder()
+{
+    auto folder = data_folder::open(m_settings.replica->dataFolder);
+    if (failed(folder)) {
+        return errorOf(folder);
+    }
+    m_folder = std::move(valueOf(folder));
+    const result<folder_contents> files = m_folder->readAll();
+    if (failed(files)) {
+        return errorOf(files);
+    }
+    const auto identity = readIdentity(valueOf(files));
+    if (failed(identity)) {
+        return errorOf(identity);
+    }
+    auto opened = log_store::open(valueOf(files));
+    if (failed(opened)) {
+        return errorOf(opened);
+    }
+    if (status repaired = m_folder->perform(valueOf(opened).repairs); failed(repaired)) {
+        return repaired;
+    }
+    m_store = std::move(valueOf(opened).store);
+    if (valueOf(identity)) {
+        return startLog(*valueOf(identity), std::move(valueOf(opened).recovered));
+    }
+    std::set<replica_number> others;
+    for (const control_peer &each : m_settings.control) {
+        if (each.number != m_settings.replica->number) {
+            others.insert(each.number);
+        }
+    }
+    m_formation.emplace(std::move(others));
+    m_joinTick = m_timers.every(formationPeriod, [this](time_point) { runFormation(formation_tick{}); });
+    return {};
+}
+
+status control_task::listen()
+{
+    const control_peer &own = ownPeer(m_settings);
+    auto listener = frame_listener::create(
+        m_context, own.frames, makeHello(m_settings, process_role::Control), [this](const auto &link, link_event event) { linkEvent(link, std::move(event)); });
+    if (failed(listener)) {
+        return errorOf(listener);
+    }
+    m_listener = std::move(valueOf(listener));
+    auto http = http_server::create(
+        m_context, own.http, {}, [this](const http_request &request, const std::shared_ptr<http_exchange> &exchange) { serve(request, exchange); });
+    if (failed(http)) {
+        return errorOf(http);
+    }
+    m_http = std::move(valueOf(http));
+    std::set<endpoint> others;
+    for (const control_peer &each : m_settings.control) {
+        if (each.number != own.number) {
+            others.insert(each.frames);
+        }
+    }
+    m_peers.setWanted(others);
+    return {};
+}
+
+status control_task::storeIdentity(replica_id self)
+{
+    return m_folder->perform({replace_file{identityFile, encodeRecord(0, flat::encode(disk_identity{self}))}});
+}
+
+status control_task::startLog(replica_id self, recovered_log recovered)
+{
+    const time_point now = std::chrono::steady_clock::now();
+    m_self = self;
+    const bool isFirst = self == makeReplicaId(m_settings.replica->number, initialDiskIncarnation);
+    if (isFirst && recovered.entries.empty() && recovered.snapshot.index.value() == 0) {
+        recovered.promise = {formedTerm, replica_id()};
+        recovered.entries = {{log_index(1), formedTerm, entry_kind::Membership, {}, firstMembers(m_settings)}};
+        m_store.add(persist_promise{recovered.promise});
+        m_store.add(persist_entries{recovered.entries});
+        if (status stored = m_folder->perform(m_store.flush()); failed(stored)) {
+            return stored;
+        }
+    }
+    logEvent(event_number::LogRecovered,
+             {{"replica", self}, {"snapshot", recovered.snapshot.index}, {"entries", recovered.entries.size()}, {"term", recovered.promise.term}});
+    const log_snapshot snapshot = recovered.snapshot;
+    agreed_log_options options;
+    options.self = self;
+    options.heartbeatPeriod = m_settings.replica->heartbeatPeriod;
+    options.electionTimeout = m_settings.replica->electionTimeout;
+    options.seed = m_random();
+    auto log = agreed_log::create(options, std::move(recovered), now);
+    if (failed(log)) {
+        return errorOf(log);
+    }
+    const replica_settings &own = *m_settings.replica;
+    const order_pipe_options pipeOptions{self,
+                                         flatPayloadCodec(),
+                                         {own.repairDelay, own.settleTime, own.weightLoadsAtOnce},
+                                         {own.weightLoad, own.weightLoadsAtOnce, own.drain},
+                                         own.entriesToCompact};
+    auto pipe = order_pipe::create(pipeOptions, std::move(valueOf(log)), snapshot);
+    if (failed(pipe)) {
+        return errorOf(pipe);
+    }
+    m_pipe.emplace(std::move(valueOf(pipe)));
+    m_tick = m_timers.every(tickPeriod, [this](time_point) { run(control_tick{wallNow()}); });
+    m_joinTick = m_timers.every(joinPeriod, [this](time_point) { askToJoin(); });
+    return {};
+}
+
+void control_task::runFormation(const formation_input &in)
+{
+    if (!m_formation) {
+        return;
+    }
+    for (const formation_output &each : m_formation->step(in, std::chrono::steady_clock::now())) {
+        std::visit([this](const auto &out) { act(out); }, each);
+    }
+}
+
+void control_task::act(const probe_peer &out)
+{
+    for (const control_peer &each : m_settings.control) {
+        if (each.number == out.peer) {
+            m_peers.send(each.frames, formation_probe{m_settings.replica->number});
+        }
+    }
+}
+
+void control_task::act(const form_log &)
+{
+    const replica_id self = makeReplicaId(m_settings.replica->number, initialDiskIncarnation);
+    logEvent(event_number::LogFormed, {{"replica", self}});
+    status done = storeIdentity(self);
+    done = failed(done) ? done : startLog(self, {});
+    if (failed(done)) {
+        replicaStopped(errorOf(done));
+    }
+}
+
+void control_task::act(const join_log &)
+{
+    std::uniform_int_distribution<std::uint32_t> incarnations(initialDiskIncarnation + 1);
+    const replica_id self = makeReplicaId(m_settings.replica->number, incarnations(m_random));
+    logEvent(event_number::ReplicaJoining, {{"replica", self}});
+    status done = storeIdentity(self);
+    done = failed(done) ? done : startLog(self, {});
+    if (failed(done)) {
+        replicaStopped(errorOf(done));
+    }
+}
+
+void control_task::askToJoin()
+{
+    const auto &members = m_pipe->log().members();
+    const bool isMember = std::any_of(members.begin(), members.end(), [this](const log_member &each) { return each.replica == m_self; });
+    if (isMember) {
+        return;
+    }
+    const control_peer &own = ownPeer(m_settings);
+    for (const control_peer &each : m_settings.control) {
+        m_peers.send(each.frames, join_request{{m_self, member_role::Learner, own.frames, own.http}});
+    }
+}
+
+bool control_task::isFormed() const
+{
+    const bool isFirstDisk = m_self == makeReplicaId(m_settings.replica->number, initialDiskIncarnation);
+    return m_pipe && (m_pipe->log().term() > formedTerm || !isFirstDisk);
+}
+
+} // namespace carawayloft
