Log connections that never bring a whole request; run every operators' command

Event 113 now says why: the library's own errors, and connections that closed before a whole request came (a body that is cut off is no error to the library, so the first try, by its error log alone, did not show it). Also: tests of each command of the tool and of a lost quorum that comes back.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -21,6 +21,8 @@
         return {"link_closed", severity::Info};
     case event_number::FrameRejected:
         return {"frame_rejected", severity::Warning};
+    case event_number::HttpConnectionRejected:
+        return {"http_connection_rejected", severity::Info};
     case event_number::RequestRejected:
         return {"request_rejected", severity::Info};
     case event_number::RouteChosen:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -14,6 +14,7 @@
     LinkOpened = 110,
     LinkClosed = 111,
     FrameRejected = 112,
+    HttpConnectionRejected = 113,
     RequestRejected = 200,
     RouteChosen = 201,
     RouteNone = 202,
--- a/src/ends/http_server.cpp
+++ b/src/ends/http_server.cpp
@@ -1,10 +1,12 @@
 #include "ends/http_server.h"
 
+#include "ends/event_log.h"
 #include "ends/frame_link.h"
 
 #include <restinio/all.hpp>
 
 #include <unordered_map>
+#include <unordered_set>
 
 namespace carawayloft {
 
@@ -30,8 +32,12 @@
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept // NOLINT(readability-identifier-naming)
     {
         if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            m_silent.insert(notice.connection_id());
             return;
         }
+        if (m_silent.erase(notice.connection_id()) > 0) {
+            logEvent(event_number::HttpConnectionRejected, {{"reason", "closed before a whole request came"}});
+        }
         const auto [first, last] = m_waiting.equal_range(notice.connection_id());
         std::vector<std::shared_ptr<std::function<void()>>> calls;
         for (auto each = first; each != last; ++each) {
@@ -47,18 +53,48 @@
         }
     }
 
+    void heard(restinio::connection_id_t connection)
+    {
+        m_silent.erase(connection);
+    }
+
     void watch(restinio::connection_id_t connection, const std::shared_ptr<std::function<void()>> &call)
     {
         m_waiting.emplace(connection, call);
     }
 
 private:
+    std::unordered_set<restinio::connection_id_t> m_silent; /**< Connections that have not brought a whole request yet. */
     std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<std::function<void()>>> m_waiting;
 };
 
+/** RESTinio's errors are connections that never brought a whole request, or were lost in an answer. */
+class rejection_log
+{
+public:
+    template<class Message>
+    void trace(Message &&)
+    {
+    }
+    template<class Message>
+    void info(Message &&)
+    {
+    }
+    template<class Message>
+    void warn(Message &&)
+    {
+    }
+    template<class Message>
+    void error(Message &&message)
+    {
+        logEvent(event_number::HttpConnectionRejected, {{"reason", std::string(message())}});
+    }
+};
+
 struct server_traits : restinio::default_single_thread_traits_t {
     using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     using connection_state_listener_t = connection_watch;
+    using logger_t = rejection_log;
 };
 
 using raw_server = restinio::http_server_t<server_traits>;
@@ -234,6 +270,7 @@
 private:
     restinio::request_handling_status_t take(restinio::request_handle_t raw)
     {
+        m_watch->heard(raw->connection_id());
         http_request request;
         const auto &header = raw->header();
         request.method = header.method().c_str();
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -308,6 +308,21 @@
     return question;
 }
 
+void cluster::sendCutRequest(unsigned entry) const
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port(entryOffset + entry)));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const std::string half
+        = "POST /services/checklist-records/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer test-key\r\nContent-Length: 100\r\n\r\n{\"step\":";
+    const bool sent = connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
+                      && ::send(socket, half.data(), half.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(half.size());
+    EXPECT_TRUE(sent);
+    close(socket);
+}
+
 std::vector<std::string> cluster::callsRun() const
 {
     std::vector<std::string> calls;
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -61,6 +61,9 @@
     http_question question(unsigned entry, const std::string &text, unsigned tokens) const;
     http_question signOff(unsigned entry, const std::string &key, const std::string &body, long limitMs = 10'000) const;
 
+    /** Sends half of a sign-off's body to an entry and closes the connection. */
+    void sendCutRequest(unsigned entry) const;
+
     /** Bodies of the calls that the record services ran, over all of them. */
     std::vector<std::string> callsRun() const;
 
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -195,6 +195,57 @@
     }));
 }
 
+TEST(Control, EveryOperatorsCommandDoesWhatItsPageSays)
+{
+    cluster_options options;
+    options.entries = 1;
+    options.engines = 0;
+    cluster cluster(options);
+    cluster.bringUp();
+    ASSERT_EQ(cluster.tool({"zone", "arriving", "mid-d"}).first, 0);
+    const std::vector<std::pair<std::string, std::string>> lists{{"status", "checklist-records"},
+                                                                 {"zones", "mid-d"},
+                                                                 {"groups", "records-1"},
+                                                                 {"hosts", "records-1"},
+                                                                 {"services", "checklist-records"},
+                                                                 {"accounts", "closedesk"}};
+    for (const auto &[command, expected] : lists) {
+        const auto shown = cluster.tool({command});
+        EXPECT_EQ(shown.first, 0) << command;
+        EXPECT_NE(shown.second.find(expected), std::string::npos) << command << shown.second;
+        EXPECT_EQ(cluster.tool({command, "--help"}).first, 0) << command;
+    }
+    const auto intent = cluster.tool({"intent", "empty mid-a by Sunday noon", "--time-zone", "UTC"});
+    EXPECT_EQ(intent.first, 0);
+    EXPECT_NE(intent.second.find("meets the deadline"), std::string::npos) << intent.second;
+    EXPECT_NE(intent.second.find("12:00 UTC"), std::string::npos) << intent.second;
+    const std::string plan = intent.second.substr(5, intent.second.find(':') - 5);
+    EXPECT_NE(cluster.tool({"plan", "list"}).second.find("proposed"), std::string::npos);
+    EXPECT_EQ(cluster.tool({"plan", "cancel", plan}).first, 0);
+    const auto late = cluster.tool({"plan", "confirm", plan});
+    EXPECT_EQ(late.first, 1);
+    EXPECT_NE(late.second.find("state the intent again"), std::string::npos) << late.second;
+    EXPECT_EQ(cluster.tool({"zone", "out", "nowhere"}).first, 1);
+    EXPECT_EQ(cluster.tool({"no-such-command"}).first, 2);
+}
+
+TEST(Control, ALostQuorumRefusesSignOffsAsNotRunUntilItIsBack)
+{
+    cluster_options options;
+    options.entries = 1;
+    options.engines = 0;
+    cluster cluster(options);
+    cluster.bringUp();
+    cluster.process(nameOf(1)).kill();
+    cluster.process(nameOf(2)).kill();
+    const http_answer refused = ask(cluster.signOff(1, "k", "{}", 2'000));
+    EXPECT_GE(refused.status, 503);
+    EXPECT_EQ(refused.headers.at("carawayloft-outcome"), "did-not-run");
+    EXPECT_TRUE(cluster.callsRun().empty());
+    cluster.startControl(1);
+    EXPECT_TRUE(cluster.await("sign-offs again", [&] { return ask(cluster.signOff(1, "k2", "{}", 2'000)).status == 200; }));
+}
+
 TEST(Control, AFullDiskRefusesChangesWithARemedy)
 {
     cluster cluster(onlyControl("min_free_mb = 1000000000000\n"));
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -104,6 +104,11 @@
     longHeader.body = "{}";
     longHeader.headers.push_back("X-Long: " + std::string(64 << 10, 'x'));
     EXPECT_NE(ask(longHeader).status, 200);
+    cluster.sendCutRequest(1);
+    EXPECT_TRUE(cluster.await("the cut connection is logged", [&] {
+        return cluster.process("entry-1").log().find("event=113 name=http_connection_rejected process=entry-1 reason=\"closed before") != std::string::npos;
+    }));
+    EXPECT_NE(cluster.process("entry-1").log().find("parser error"), std::string::npos);
     EXPECT_TRUE(cluster.callsRun().empty());
     EXPECT_TRUE(ask(cluster.question(1, "still there", 3)).whole);
 }
