--- a/include/carawayloft/order/agreed_log.h
+++ b/include/carawayloft/order/agreed_log.h
@@ -180,7 +180,6 @@
     struct waiting_read {
         proposal_token token;
         std::uint64_t round = 0;
-        log_index index;
     };
 
     agreed_log(const agreed_log_options &options, recovered_log recovered, time_point now);
--- a/src/ends/frame_link.cpp
+++ b/src/ends/frame_link.cpp
@@ -116,7 +116,9 @@
     }
     const hello *peer = std::get_if<hello>(&message);
     if (peer == nullptr) {
-        fail({error_kind::MalformedFrame, "the first frame is no hello", "connect only processes of this system to its frame ports"});
+        fail({error_kind::MalformedFrame,
+              std::string("the first frame is ") + kindOf(message) + ", no hello",
+              "connect only processes of this system to its frame ports"});
         return;
     }
     if (greet(*peer)) {
--- a/src/order_pipe/agreed_log.cpp
+++ b/src/order_pipe/agreed_log.cpp
@@ -83,7 +83,7 @@
         return;
     }
     broadcast(true);
-    m_reads.push_back({in.token, m_round, m_commit});
+    m_reads.push_back({in.token, m_round});
     confirmReads();
 }
 
