--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -110,7 +110,7 @@
 
 void cluster::write(const std::string &name, const std::string &zone, const std::string &roles, const std::string &sections) const
 {
-    std::ofstream file(m_folder + "/" + name + ".toml");
+    std::ofstream file(settingsFile(name));
     file << "[process]\nname = \"" << name << "\"\nzone = \"" << zone << "\"\nroles = [" << roles << "]\n\n[control]\npeers = [\n";
     for (unsigned i = 1; i <= m_options.controls; ++i) {
         file << "    { number = " << i << ", frames = \"" << address(framesOffset + i) << "\", http = \"" << address(controlHttpOffset + i) << "\" },\n";
@@ -144,26 +144,26 @@
 {
     const std::string name = "control-" + std::to_string(number);
     write(name, "mid-" + std::string(1, static_cast<char>('a' + number - 1)), "\"control\"", replicaSection(number));
-    start(name, {bin + "/carawayloftd", m_folder + "/" + name + ".toml"});
+    start(name, {bin + "/carawayloftd", settingsFile(name)});
 }
 
 void cluster::startEntry(unsigned number)
 {
     const std::string name = "entry-" + std::to_string(number);
     write(name, number == 1 ? "mid-a" : "mid-b", "\"entry\"", entrySection(number));
-    start(name, {bin + "/carawayloftd", m_folder + "/" + name + ".toml"});
+    start(name, {bin + "/carawayloftd", settingsFile(name)});
 }
 
 void cluster::startAgent(const std::string &host)
 {
     write("agent-" + host, m_hosts.at(host).zone, "\"agent\"", agentSection(host));
-    start("agent-" + host, {bin + "/carawayloftd", m_folder + "/agent-" + host + ".toml"});
+    start("agent-" + host, {bin + "/carawayloftd", settingsFile("agent-" + host)});
 }
 
 void cluster::startTogether()
 {
     write("all", "mid-a", R"("control", "entry", "agent")", replicaSection(1) + entrySection(1) + agentSection("records-1"));
-    start("all", {bin + "/carawayloftd", m_folder + "/all.toml"});
+    start("all", {bin + "/carawayloftd", settingsFile("all")});
     startBackend("records-1");
 }
 
@@ -220,6 +220,11 @@
     return m_folder + "/data-" + std::to_string(control);
 }
 
+std::string cluster::settingsFile(const std::string &process) const
+{
+    return m_folder + "/" + process + ".toml";
+}
+
 std::pair<int, std::string> cluster::tool(const std::vector<std::string> &words) const
 {
     std::string replicas;
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -50,6 +50,7 @@
     std::string agentUrl(const std::string &host) const;
     unsigned agentFramesPort(const std::string &host) const;
     std::string dataFolder(unsigned control) const;
+    std::string settingsFile(const std::string &process) const;
 
     /** Runs the tool; its exit code and output. */
     std::pair<int, std::string> tool(const std::vector<std::string> &words) const;
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -35,6 +35,9 @@
     cluster.bringUp();
     EXPECT_EQ(ask(cluster.signOff(1, "k", "{}")).status, 200);
     EXPECT_EQ(cluster.callsRun().size(), 1U);
+    child check({CARAWAYLOFT_BIN "/carawayloftd", "--check", cluster.settingsFile("all")}, ::testing::TempDir() + "/settings-valid.log");
+    EXPECT_EQ(check.wait(), 0);
+    EXPECT_NE(check.log().find("the settings are valid"), std::string::npos);
     cluster.process("all").signal(SIGTERM);
     EXPECT_EQ(cluster.process("all").wait(), 0);
 }
