Compute a load report once for all entries, and drop arguments nobody used

Found on a last read: the agent asked anew for each entry whether it accepts work and what it has, though only the entry's own share differs; the placer, the serving model and the model engine's stand-in carried arguments or options that nothing read.

--- a/bench/serving_model.cpp
+++ b/bench/serving_model.cpp
@@ -127,13 +127,11 @@
     request.deliveredAt = m_now;
     group &to = m_groups[request.group];
     ++to.presentFrom[request.entry];
-    act(request.group,
-        to.admitted.step(work_arrived{keyOf(id), client_account_id("a"), 1, work_priority::Interactive, request.begun + m_options.timeLimit}, m_now));
+    act(to.admitted.step(work_arrived{keyOf(id), client_account_id("a"), 1, work_priority::Interactive, request.begun + m_options.timeLimit}, m_now));
 }
 
-void serving_model::act(unsigned groupIndex, const std::vector<admission_output> &outputs)
+void serving_model::act(const std::vector<admission_output> &outputs)
 {
-    (void)groupIndex;
     for (const admission_output &each : outputs) {
         std::visit(overloaded{
                        [this](const work_admitted &out) { begin(out.key.request.value()); },
@@ -179,7 +177,7 @@
     } else {
         ++m_result.late;
     }
-    act(request.group, at.admitted.step(work_ended{keyOf(id), work_result::Done}, m_now));
+    act(at.admitted.step(work_ended{keyOf(id), work_result::Done}, m_now));
 }
 
 void serving_model::refuse(std::uint64_t id)
@@ -201,7 +199,7 @@
 void serving_model::report(unsigned groupIndex)
 {
     group &of = m_groups[groupIndex];
-    act(groupIndex, of.admitted.step(admission_tick{}, m_now));
+    act(of.admitted.step(admission_tick{}, m_now));
     for (unsigned i = 0; i < m_options.entries; ++i) {
         if (uniform() < m_options.lostReports) {
             continue;
@@ -227,7 +225,7 @@
     for (unsigned i = 0; i < m_options.groups; ++i) {
         if (m_groups[i].zone == 0) {
             m_groups[i].open = false;
-            act(i, m_groups[i].admitted.step(admission_gate{false, refusal_reason::ZoneOut}, m_now));
+            act(m_groups[i].admitted.step(admission_gate{false, refusal_reason::ZoneOut}, m_now));
         }
     }
 }
--- a/bench/serving_model.h
+++ b/bench/serving_model.h
@@ -102,7 +102,7 @@
     void arrive();
     void route(std::uint64_t id);
     void deliver(std::uint64_t id);
-    void act(unsigned groupIndex, const std::vector<admission_output> &outputs);
+    void act(const std::vector<admission_output> &outputs);
     void begin(std::uint64_t id);
     void finish(std::uint64_t id);
     void refuse(std::uint64_t id);
--- a/include/carawayloft/backend/backend_pipe.h
+++ b/include/carawayloft/backend/backend_pipe.h
@@ -92,7 +92,7 @@
     void renewControlLease();
     void announce();
     void reportLoad();
-    load_report makeReport(link_id link) const;
+    std::uint32_t workFrom(link_id link) const;
 
     template<class Output>
     void emit(Output output)
--- a/src/backend_pipe/backend_pipe.cpp
+++ b/src/backend_pipe/backend_pipe.cpp
@@ -220,19 +220,11 @@
     refreshAssignment();
 }
 
-load_report backend_pipe::makeReport(link_id link) const
+/** Requests running or waiting that came over @p link. */
+std::uint32_t backend_pipe::workFrom(link_id link) const
 {
     const auto isOwn = [link](const auto &each) { return each.first.link == link; };
-    const auto own = std::count_if(m_active.begin(), m_active.end(), isOwn) + std::count_if(m_queued.begin(), m_queued.end(), isOwn);
-    return {m_group.group,
-            m_group.epoch,
-            !closedBecause(),
-            m_admission.isCold(),
-            m_admission.running(),
-            m_admission.waiting(),
-            m_admission.limit(),
-            static_cast<std::uint32_t>(own),
-            m_cachedPrefix};
+    return static_cast<std::uint32_t>(std::count_if(m_active.begin(), m_active.end(), isOwn) + std::count_if(m_queued.begin(), m_queued.end(), isOwn));
 }
 
 void backend_pipe::reportLoad()
@@ -242,13 +234,16 @@
         return;
     }
     const bool accepting = !closedBecause();
+    load_report report{
+        m_group.group, m_group.epoch, accepting, m_admission.isCold(), m_admission.running(), m_admission.waiting(), m_admission.limit(), 0, m_cachedPrefix};
     for (auto &[link, peer] : m_links) {
         const bool isActive = m_now < peer.activeAt + activeTime;
         const bool isDue = isActive || accepting != peer.toldAccepting || m_now >= peer.reportedAt + idleReportPeriod;
         if (peer.role == process_role::Entry && isDue) {
             peer.reportedAt = m_now;
             peer.toldAccepting = accepting;
-            emit(send_to_link{link, makeReport(link)});
+            report.own = workFrom(link);
+            emit(send_to_link{link, report});
         }
     }
     m_cachedPrefix = 0;
--- a/src/placement_pipe/placer.cpp
+++ b/src/placement_pipe/placer.cpp
@@ -59,19 +59,19 @@
         }
     }
     if (leadLost) {
-        repair(group, lead, in, now, out);
+        repair(group, lead, in, out);
         return;
     }
     const auto missingSince = in.leases.missingSince(group);
     if (missingSince && now >= *missingSince + m_options.repairDelay) {
-        repair(group, report->missing.front(), in, now, out);
+        repair(group, report->missing.front(), in, out);
     }
 }
 
-void placer::repair(const group_record &group, const host_id &lost, const input &in, time_point now, std::vector<output> &out)
+void placer::repair(const group_record &group, const host_id &lost, const input &in, std::vector<output> &out)
 {
     const host_record *record = in.fleet.host(lost);
-    const free_hosts free = freeHosts(group.service, in, now);
+    const free_hosts free = freeHosts(group.service, in);
     // Another host of the group tells the fabric domain even when the lost one was alone in its own.
     const host_record *anchor = group.hosts.size() > 1 ? in.fleet.host(group.hosts.front() == lost ? group.hosts.back() : group.hosts.front()) : record;
     const auto spare = anchor == nullptr ? free.end() : free.find({anchor->zone, anchor->fabricDomain});
@@ -85,7 +85,7 @@
     out.emplace_back(placement_decision{dissolve_group{group.group, group.epoch}, "host " + lost.value() + " is lost; no spare in the fabric domain"});
 }
 
-placer::free_hosts placer::freeHosts(const service_id &service, const input &in, time_point) const
+placer::free_hosts placer::freeHosts(const service_id &service, const input &in) const
 {
     free_hosts free;
     for (const auto &[host, since] : m_freeSince) {
@@ -114,7 +114,7 @@
 
 void placer::formGroups(const service_record &service, const input &in, time_point now, std::vector<output> &out)
 {
-    free_hosts free = freeHosts(service.service, in, now);
+    free_hosts free = freeHosts(service.service, in);
     std::map<availability_zone_id, std::size_t> groups;
     for (const auto &[id, group] : in.fleet.groups()) {
         const host_record *lead = in.fleet.host(group.hosts.front());
--- a/tools/fake_engine.cpp
+++ b/tools/fake_engine.cpp
@@ -18,8 +18,6 @@
 
 struct engine_options {
     endpoint listen;
-    unsigned coldLimit = 1;
-    unsigned warmLimit = 1;
     unsigned tokens = 1;
     duration firstToken{0};
     duration perToken{0};
@@ -262,8 +260,6 @@
                               agent.getValue(),
                               {"http://" + listen.getValue(), service.getValue(), "model", cold.getValue(), warm.getValue(), fencing.getValue(), false});
     engine_options options;
-    options.coldLimit = cold.getValue();
-    options.warmLimit = warm.getValue();
     options.tokens = tokens.getValue();
     options.firstToken = duration(firstToken.getValue());
     options.perToken = duration(perToken.getValue());
