--- a/include/carawayloft/core/ids.h
+++ b/include/carawayloft/core/ids.h
@@ -17,6 +17,32 @@
 /** Names an operator's command; a resend carries the same one. */
 using command_id = strong_type<struct command_id_tag, std::string>;
 
+using model_id = strong_type<struct model_id_tag, std::string>;
+
+/** One start of a backend server; a restarted one draws another or is told apart by its start time. */
+using backend_id = strong_type<struct backend_id_tag, std::string>;
+
+/** Secret by which a caller shows which client account it belongs to. */
+using access_key = strong_type<struct access_key_tag, std::string>;
+
+/** Number that operators give a service configuration; the highest accepted one is in force. */
+using configuration_version = strong_type<struct configuration_version_tag, std::uint64_t>;
+
+/** Number of an event within one streamed answer. */
+using stream_event_id = strong_type<struct stream_event_id_tag, std::uint64_t>;
+
+/** An HTTP call of a gateway to a backend server. */
+using backend_call_id = strong_type<struct backend_call_id_tag, std::uint64_t>;
+
+/** A test whether a backend server can be reached. */
+using probe_id = strong_type<struct probe_id_tag, std::uint64_t>;
+
+/** An order to a model engine. */
+using order_id = strong_type<struct order_id_tag, std::uint64_t>;
+
+/** A call of an operator or a backend server that waits for its answer. */
+using call_token = strong_type<struct call_token_tag, std::uint64_t>;
+
 /** "IP:port" of a process of the system. */
 using endpoint = strong_type<struct endpoint_tag, std::string>;
 
--- /dev/null
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <carawayloft/fleet/fleet_pipe_messages.h>
+#include <carawayloft/fleet/backend_view.h>
+
+namespace carawayloft {
+
+/**
+ * The pipe from what backend servers and gateways say to orders and publications: registry, group
+ * keeper, publication. Its state is not in the agreed log: a new leader starts from what the last one
+ * mirrored and hears the rest within two announcements.
+ */
+class fleet_pipe
+{
+public:
+    using input = fleet_pipe_input;
+    using output = fleet_pipe_output;
+
+    std::vector<output> step(const input &in, time_point now);
+
+    /** All that the leader knows, as one publication. */
+    publish_fleet whole(time_point now) const;
+
+    bool leads() const
+    {
+        return m_leads;
+    }
+    const backend_registry &registry() const
+    {
+        return m_registry;
+    }
+    const group_keeper &keeper() const
+    {
+        return m_keeper;
+    }
+
+private:
+    struct gateway {
+        time_point heardAt;
+        std::vector<group_load> loads;
+    };
+    struct running_probe {
+        backend_id backend;
+        bool confirms = false; /**< A gateway could not reach the server either. */
+    };
+
+    void take(const fleet_tick &in);
+    void take(const leadership_changed &in);
+    void take(const services_changed &in);
+    void take(const zones_out_changed &in);
+    void take(const check_in_received &in);
+    void take(const departure_received &in);
+    void take(const gateway_reported &in);
+    void take(const gateway_lost &in);
+    void take(const probe_finished &in);
+    void take(const order_finished &in);
+    void take(const fleet_mirrored &in);
+
+    void runRegistry(const backend_registry_input &in, const char *reason);
+    void runKeeper(const group_keeper_input &in);
+    void look();
+    void handle(const order_wanted &out);
+    void handle(const group_changed &out);
+    void handle(const group_retired &out);
+    void publish(publish_fleet change);
+    backend_record current(const backend_id &backend, time_point now) const;
+    void startProbe(const backend_id &backend, bool confirms);
+    void findSilent();
+    bool groupProgresses(const backend_id &member) const;
+    std::uint32_t countGateways();
+
+    time_point m_now;
+    std::vector<output> m_out;
+    bool m_leads = false;
+    log_term m_term;
+    time_point m_leadsSince;
+    backend_view m_mirror; /**< What the leader said, while this replica does not lead. */
+    backend_registry m_registry;
+    group_keeper m_keeper;
+    std::vector<served_service> m_services;
+    std::set<availability_zone_id> m_zonesOut;
+    std::map<link_id, gateway> m_gateways;
+    std::deque<time_point> m_gatewaysLost; /**< Within the last window of the shared limits. */
+    std::map<probe_id, running_probe> m_probes;
+    std::map<backend_id, time_point> m_probedAt;
+    probe_id m_lastProbe;
+    time_point m_lookDue;
+};
+
+static_assert(filter<fleet_pipe>);
+
+} // namespace carawayloft
--- /dev/null
+++ b/include/carawayloft/fleet/group_keeper.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <carawayloft/fleet/backend_registry.h>
+#include <carawayloft/fleet/engine_order.h>
+#include <carawayloft/service/service_configuration.h>
+
+#include <deque>
+#include <optional>
+#include <set>
+
+namespace carawayloft {
+
+/** What the keeper decides from. */
+struct keeper_view {
+    const backend_registry &registry;
+    const std::vector<served_service> &services;
+    const std::set<availability_zone_id> &zonesOut;
+};
+
+// Inputs.
+
+struct keeper_look {
+    keeper_view view;
+};
+
+/** This replica leads from now on; @p inherited is what it knew of the groups. */
+struct keeping_began {
+    log_term term;
+    std::vector<engine_group> inherited;
+};
+
+struct keeping_ended {
+};
+
+struct order_finished {
+    order_id order;
+    order_outcome outcome = order_outcome::Unanswered;
+};
+
+using group_keeper_input = std::variant<keeper_look, keeping_began, keeping_ended, order_finished>;
+
+// Outputs.
+
+/** Give the order to the backend server. */
+struct order_wanted {
+    order_id order;
+    backend_id backend;
+    engine_order what;
+};
+
+/** A group is new or in another phase. */
+struct group_changed {
+    engine_group group;
+    const char *reason = "";
+};
+
+/** A group is no more; its members are free. */
+struct group_retired {
+    group_epoch epoch;
+    const char *reason = "";
+};
+
+using group_keeper_output = std::variant<order_wanted, group_changed, group_retired>;
+
+/**
+ * Forms, opens, closes and repairs groups of engines. The engines hold the membership, so a new leader
+ * takes it over from what they report; epochs are made of the log's term, which only grows.
+ */
+class group_keeper
+{
+public:
+    using input = group_keeper_input;
+    using output = group_keeper_output;
+
+    std::vector<output> step(const input &in, time_point now);
+
+    /** Groups in any phase. */
+    std::vector<engine_group> groups() const;
+
+private:
+    /** Time after which an order that got no answer is given again. */
+    static constexpr duration orderResendDelay{500};
+
+    /** An order and what came of it; sent again until it is answered. */
+    struct sent_order {
+        order_id order;
+        time_point sentAt;
+        bool sent = false;
+        bool answered = false;
+    };
+    struct managed_group {
+        engine_group group;
+        std::vector<std::int64_t> startedAt; /**< Of each member when it was chosen. */
+        std::map<backend_id, sent_order> joins;
+        sent_order opening;
+        sent_order closing;
+        bool preempt = false;
+        time_point since; /**< Of the present phase. */
+        time_point due; /**< A group that is not ready by then is given up. */
+    };
+    /** A free backend server that holds a model for the next group that needs it. */
+    struct standby {
+        group_epoch epoch;
+        model_id model;
+        std::int64_t startedAt = 0;
+        sent_order join;
+        time_point due;
+        bool loads = false; /**< From the weight store. */
+    };
+    /** Where an order belongs. */
+    struct order_place {
+        group_epoch epoch;
+        backend_id backend;
+    };
+    /** Free backend servers of one fabric domain by the model that they hold. */
+    struct domain_pool {
+        std::map<model_id, std::vector<backend_id>> hot; /**< Their last group had the model. */
+        std::map<model_id, std::vector<backend_id>> warm; /**< Their host has the weights. */
+        std::map<model_id, std::size_t> preparing;
+        std::vector<backend_id> empty;
+
+        std::size_t held(const model_id &model) const;
+    };
+
+    void take(const keeper_look &in);
+    void take(const keeping_began &in);
+    void take(const keeping_ended &in);
+    void take(const order_finished &in);
+
+    // Groups.
+    void lookAtGroup(managed_group &each);
+    void lookAtForming(managed_group &each);
+    void lookAtOpening(managed_group &each);
+    void lookAtOpen(managed_group &each);
+    void lookAtClosing(managed_group &each);
+    bool headHasClosed(const managed_group &each) const;
+    const char *memberMissing(const managed_group &each) const;
+    bool memberLeaves(const managed_group &each) const;
+    void close(managed_group &each, bool preempt, const char *reason);
+    void setPhase(managed_group &each, group_phase phase, const char *reason);
+    void retire(group_epoch epoch, const char *reason);
+
+    // Groups that another leader formed.
+    void adoptUnknown();
+    void adopt(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
+
+    // Formation.
+    void planService(const served_service &service);
+    domain_pool poolOf(const served_service &service, const fabric_domain_id &domain) const;
+    bool isFree(const backend_registry::entry &entry) const;
+    bool formOne(const served_service &service, domain_pool &pool);
+    void form(const served_service &service, const model_profile &model, std::vector<backend_id> members, engine_time expected);
+    void prepare(const served_service &service, domain_pool &pool);
+    const model_profile &chooseToPrepare(const served_service &service, const domain_pool &pool) const;
+    void startStandby(const served_service &service, const model_profile &model, const backend_id &backend, bool loads);
+    void lookAtStandby();
+    bool mayLoad(const served_service &service) const;
+    std::size_t groupsOf(const model_id &model) const;
+    double need(const model_profile &model) const;
+    std::vector<const model_profile *> byNeed(const served_service &service) const;
+
+    void send(sent_order &slot, group_epoch epoch, const backend_id &backend, engine_order what, duration again);
+    group_epoch nextEpoch();
+    const backend_registry::entry *entryOf(const backend_id &backend) const;
+
+    time_point m_now;
+    std::optional<keeper_view> m_view; /**< While a step runs. */
+    std::vector<output> m_out;
+    bool m_keeping = false;
+    log_term m_term;
+    std::uint64_t m_epochs = 0;
+    order_id m_lastOrder;
+    time_point m_beganAt;
+    std::map<group_epoch, managed_group> m_groups;
+    std::map<backend_id, standby> m_standby;
+    std::map<order_id, order_place> m_orders;
+    std::set<group_epoch> m_retired;
+    std::map<group_epoch, time_point> m_unknownSince;
+    std::deque<time_point> m_loads; /**< Starts of loads within the last window. */
+};
+
+static_assert(filter<group_keeper>);
+
+} // namespace carawayloft
--- /dev/null
+++ b/include/carawayloft/gateway/sliding_count.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <carawayloft/core/units.h>
+
+#include <deque>
+
+namespace carawayloft {
+
+/** Counts events within the span of time that has just passed. */
+class sliding_count
+{
+public:
+    explicit sliding_count(duration window)
+        : m_window(window)
+    {
+    }
+
+    void add(time_point now);
+
+    std::size_t count(time_point now);
+
+private:
+    duration m_window;
+    std::deque<time_point> m_events;
+};
+
+} // namespace carawayloft
--- a/include/carawayloft/messages/hello.h
+++ b/include/carawayloft/messages/hello.h
@@ -18,6 +18,7 @@
     Agent,
     Control,
     Tool,
+    Gateway,
 };
 
 /** First message in each direction of a connection. */
--- a/include/carawayloft/messages/peer_message.h
+++ b/include/carawayloft/messages/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/fleet/fleet_messages.h>
 #include <carawayloft/messages/control_messages.h>
 #include <carawayloft/messages/hello.h>
 #include <carawayloft/messages/lease_messages.h>
@@ -35,6 +36,9 @@
                                   log_traffic,
                                   formation_probe,
                                   formation_reply,
-                                  join_request>;
+                                  join_request,
+                                  publish_fleet,
+                                  gateway_report,
+                                  gateway_grant>;
 
 } // namespace carawayloft
--- a/include/carawayloft/order/agreed_log.h
+++ b/include/carawayloft/order/agreed_log.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -230,7 +231,10 @@
     void refreshMembers();
     bool membershipPending() const;
     bool committedInOwnTerm() const;
-    void promoteLearner();
+    bool isSilent(const log_member &member, duration silence) const;
+    bool isCaughtUp(const log_member &member) const;
+    std::optional<std::vector<log_member>> betterMembers() const;
+    void improveMembers();
     void changeMembers(std::vector<log_member> members);
 
     template<class Output>
--- a/include/carawayloft/order/fleet_command.h
+++ b/include/carawayloft/order/fleet_command.h
@@ -141,6 +141,16 @@
     }
 };
 
+/** Puts a service configuration in force, unless one with as high a version is. */
+struct put_configuration {
+    configuration_record configuration;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"configuration", &put_configuration::configuration});
+    }
+};
+
 using fleet_change = std::variant<put_zone,
                                   put_host,
                                   remove_host,
@@ -153,7 +163,8 @@
                                   propose_plan,
                                   confirm_plan,
                                   cancel_plan,
-                                  advance_plan>;
+                                  advance_plan,
+                                  put_configuration>;
 
 /** A change with the name of its sender's request and the revision that the sender saw. */
 struct fleet_command {
--- a/include/carawayloft/order/fleet_state.h
+++ b/include/carawayloft/order/fleet_state.h
@@ -42,6 +42,7 @@
     std::vector<command_answer> answers;
     revision lastOperatorChange;
     std::string lastAuthor;
+    configuration_record configuration;
 
     static constexpr auto fields()
     {
@@ -54,7 +55,8 @@
                           field{"plans", &fleet_snapshot::plans},
                           field{"answers", &fleet_snapshot::answers},
                           field{"last_operator_change", &fleet_snapshot::lastOperatorChange},
-                          field{"last_author", &fleet_snapshot::lastAuthor});
+                          field{"last_author", &fleet_snapshot::lastAuthor},
+                          field{"configuration", &fleet_snapshot::configuration});
     }
 };
 
@@ -101,6 +103,12 @@
         return m_plans;
     }
 
+    /** The service configuration; version zero before the first. */
+    const configuration_record &configuration() const
+    {
+        return m_configuration;
+    }
+
     /** The group that @p host is assigned to, or nullptr. */
     const group_record *groupOf(const host_id &host) const;
     const host_record *host(const host_id &host) const;
@@ -122,6 +130,7 @@
     status change(const confirm_plan &change, revision at);
     status change(const cancel_plan &change, revision at);
     status change(const advance_plan &change, revision at);
+    status change(const put_configuration &change, revision at);
 
     result<group_record *> findGroup(group_id group, group_epoch epoch);
     result<plan_record *> findPlan(plan_id plan);
@@ -139,6 +148,7 @@
     std::map<service_id, service_record> m_services;
     std::map<client_account_id, account_record> m_accounts;
     std::map<plan_id, plan_record> m_plans;
+    configuration_record m_configuration;
     std::map<command_id, command_answer> m_answers;
     std::deque<command_id> m_answerOrder;
 };
--- a/include/carawayloft/order/leader_finder.h
+++ b/include/carawayloft/order/leader_finder.h
@@ -26,6 +26,11 @@
     endpoint leader; /**< Empty when not known there. */
 };
 
+/** More replicas, beside those that are known. */
+struct replicas_known {
+    std::vector<endpoint> replicas;
+};
+
 // Outputs.
 
 /** Leave the present connection, if any, for this one. */
@@ -41,10 +46,13 @@
 class leader_finder
 {
 public:
-    using input = std::variant<finder_tick, control_opened, control_closed, leader_heard, leader_is_elsewhere>;
+    using input = std::variant<finder_tick, control_opened, control_closed, leader_heard, leader_is_elsewhere, replicas_known>;
     using output = std::variant<connect_to_control, ask_control>;
 
-    explicit leader_finder(std::vector<endpoint> replicas);
+    /** Silence of a leader after which another replica is asked, where nothing shorter is needed. */
+    static constexpr duration usualSilenceToLeave{3'000};
+
+    explicit leader_finder(std::vector<endpoint> replicas, duration silenceToLeave = usualSilenceToLeave);
 
     std::vector<output> step(const input &in, time_point now);
 
@@ -53,6 +61,7 @@
     std::vector<output> connectNext(time_point now);
 
     std::vector<endpoint> m_replicas;
+    duration m_silenceToLeave;
     std::size_t m_turn = 0;
     bool m_connecting = false;
     bool m_open = false;
--- a/include/carawayloft/order/log_entry.h
+++ b/include/carawayloft/order/log_entry.h
@@ -20,11 +20,15 @@
     member_role role = member_role::Voter;
     endpoint frames;
     endpoint http;
+    availability_zone_id zone; /**< Empty when not known. */
 
     static constexpr auto fields()
     {
-        return std::tuple(
-            field{"replica", &log_member::replica}, field{"role", &log_member::role}, field{"frames", &log_member::frames}, field{"http", &log_member::http});
+        return std::tuple(field{"replica", &log_member::replica},
+                          field{"role", &log_member::role},
+                          field{"frames", &log_member::frames},
+                          field{"http", &log_member::http},
+                          field{"zone", &log_member::zone});
     }
 
     friend bool operator==(const log_member &, const log_member &) = default;
--- a/include/carawayloft/order/order_pipe.h
+++ b/include/carawayloft/order/order_pipe.h
@@ -15,6 +15,7 @@
     placer_options placement;
     plan_costs costs;
     std::uint64_t entriesToCompact = 10'000; /**< Entries behind the last snapshot that lead to another. */
+    std::size_t bytesToCompact = std::size_t{64} << 20U; /**< The same in bytes of their payloads. */
 };
 
 /**
@@ -146,6 +147,7 @@
     fleet_state m_fleet;
     claim_table m_claims;
     log_index m_applied;
+    std::size_t m_bytesApplied = 0; /**< Of payloads behind the last snapshot. */
     lease_registry m_leases;
     placer m_placer;
     plan_runner m_plans;
--- a/include/carawayloft/order/publisher.h
+++ b/include/carawayloft/order/publisher.h
@@ -82,6 +82,7 @@
     };
 
     std::map<link_id, revision> m_subscribers; /**< With the revision that each confirmed. */
+    std::size_t m_recentBytes = 0; /**< Of configurations among the recent changes. */
     std::deque<publish_change> m_recent; /**< Without gaps; serves processes that were away for a moment. */
     std::map<revision, pending_change> m_pending;
 };
--- a/include/carawayloft/order/records.h
+++ b/include/carawayloft/order/records.h
@@ -117,6 +117,17 @@
     }
 };
 
+/** The service configuration in force, as the operator wrote it. */
+struct configuration_record {
+    configuration_version version;
+    std::string document;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"version", &configuration_record::version}, field{"document", &configuration_record::document});
+    }
+};
+
 enum class step_kind : std::uint8_t {
     OpenZone, /**< Let placement fill an arriving availability zone. */
     AwaitCapacity, /**< Wait until the groups that replace those of the leaving zone serve. */
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -67,6 +67,36 @@
         return {"control_lease_lost", severity::Warning};
     case event_number::ControlLeaseGained:
         return {"control_lease_gained", severity::Info};
+    case event_number::CallRepeated:
+        return {"call_repeated", severity::Info};
+    case event_number::GroupSuspended:
+        return {"group_suspended", severity::Warning};
+    case event_number::RequestEnded:
+        return {"request_ended", severity::Info};
+    case event_number::ServiceRightLost:
+        return {"service_right_lost", severity::Warning};
+    case event_number::ServiceRightGained:
+        return {"service_right_gained", severity::Info};
+    case event_number::ConfigurationInForce:
+        return {"configuration_in_force", severity::Info};
+    case event_number::ConfigurationUnreadable:
+        return {"configuration_unreadable", severity::Error};
+    case event_number::SettingsReread:
+        return {"settings_reread", severity::Info};
+    case event_number::BackendNoticed:
+        return {"backend_noticed", severity::Info};
+    case event_number::EngineGroupChanged:
+        return {"engine_group_changed", severity::Info};
+    case event_number::EngineGroupRetired:
+        return {"engine_group_retired", severity::Info};
+    case event_number::EngineOrdered:
+        return {"engine_ordered", severity::Info};
+    case event_number::EngineOrderAnswered:
+        return {"engine_order_answered", severity::Info};
+    case event_number::BackendProbed:
+        return {"backend_probed", severity::Info};
+    case event_number::FleetLed:
+        return {"fleet_led", severity::Info};
     case event_number::RoleChanged:
         return {"role_changed", severity::Info};
     case event_number::ChangeAccepted:
--- /dev/null
+++ b/src/daemon/process.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "daemon/running_role.h"
+#include "daemon/settings.h"
+#include "tasks/agent_task.h"
+#include "tasks/control_task.h"
+#include "tasks/entry_task.h"
+#include "tasks/gateway_task.h"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+
+namespace carawayloft {
+
+/** All roles of this process. */
+class process
+{
+public:
+    /** @p front is how the process speaks on an installation that has an interface of its own; null for none. */
+    explicit process(settings loaded, const front_end *front)
+        : m_settings(std::move(loaded))
+        , m_frontEnd(front)
+    {
+    }
+
+    status start()
+    {
+        status done;
+        if (m_settings.replica) {
+            done = startRole(m_control, m_frontEnd, [this](bool well) { ended(m_control.context, well); });
+        }
+        if (m_settings.agent && !failed(done)) {
+            done = startRole(m_agent, [this] { ended(m_agent.context, true); });
+        }
+        if (m_settings.entry && !failed(done)) {
+            done = startRole(m_entry, [this] { ended(m_entry.context, true); });
+        }
+        if (m_settings.gateway && m_frontEnd != nullptr && !failed(done)) {
+            done = startRole(m_gateway, *m_frontEnd, [this] { ended(m_gateway.context, true); });
+        }
+        return done;
+    }
+
+    /** Calls @p call every @p period and at each SIGHUP while the process runs, on its main thread. */
+    void onReload(std::chrono::milliseconds period, std::function<void()> call)
+    {
+        m_reload = std::move(call);
+        m_reloadPeriod = period;
+    }
+
+    /** Tells every role of more control replicas. */
+    void learn(const std::vector<control_peer> &replicas)
+    {
+        if (m_control.task) {
+            m_control.task->learn(replicas);
+        }
+        if (m_gateway.task) {
+            m_gateway.task->learn(replicas);
+        }
+    }
+
+    void run()
+    {
+        m_running = (m_control.task ? 1 : 0) + (m_agent.task ? 1 : 0) + (m_entry.task ? 1 : 0) + (m_gateway.task ? 1 : 0);
+        std::apply([](auto &...each) { ((each.task ? each.start() : void()), ...); }, roles());
+        asio::signal_set signals(m_main, SIGTERM, SIGINT);
+        awaitSignal(signals);
+        asio::signal_set hangUps(m_main, SIGHUP);
+        if (m_reload) {
+            awaitHangUp(hangUps);
+            awaitReload();
+        }
+        m_main.run();
+        std::apply([](auto &...each) { (each.finish(), ...); }, roles());
+    }
+
+    bool endedWell() const
+    {
+        return m_endedWell;
+    }
+
+private:
+    std::tuple<running_role<control_task> &, running_role<agent_task> &, running_role<entry_task> &, running_role<gateway_task> &> roles()
+    {
+        return std::tie(m_control, m_agent, m_entry, m_gateway);
+    }
+
+    template<class Task, class... Arguments>
+    status startRole(running_role<Task> &role, Arguments &&...arguments)
+    {
+        auto task = Task::create(role.context, m_settings, std::forward<Arguments>(arguments)...);
+        if (failed(task)) {
+            return errorOf(task);
+        }
+        role.task = std::move(valueOf(task));
+        return {};
+    }
+
+    void awaitSignal(asio::signal_set &signals)
+    {
+        signals.async_wait([this, &signals](const std::error_code &failure, int) {
+            if (!failure) {
+                stopRoles();
+                awaitSignal(signals);
+            }
+        });
+    }
+
+    void awaitHangUp(asio::signal_set &signals)
+    {
+        signals.async_wait([this, &signals](const std::error_code &failure, int) {
+            if (!failure) {
+                m_reload();
+                awaitHangUp(signals);
+            }
+        });
+    }
+
+    void awaitReload()
+    {
+        m_reloadTimer.expires_after(m_reloadPeriod);
+        m_reloadTimer.async_wait([this](const std::error_code &failure) {
+            if (!failure) {
+                m_reload();
+                awaitReload();
+            }
+        });
+    }
+
+    void stopRoles()
+    {
+        std::apply([](auto &...each) { ((each.task ? each.task->stop() : void()), ...); }, roles());
+    }
+
+    void ended(asio::io_context &context, bool well)
+    {
+        context.stop();
+        asio::post(m_main, [this, well] {
+            m_endedWell = m_endedWell && well;
+            if (!well) {
+                stopRoles();
+            }
+            if (--m_running == 0) {
+                m_main.stop();
+            }
+        });
+    }
+
+    settings m_settings;
+    const front_end *m_frontEnd = nullptr;
+    asio::io_context m_main{1};
+    std::function<void()> m_reload;
+    std::chrono::milliseconds m_reloadPeriod{0};
+    asio::steady_timer m_reloadTimer{m_main};
+    running_role<control_task> m_control;
+    running_role<agent_task> m_agent;
+    running_role<entry_task> m_entry;
+    running_role<gateway_task> m_gateway;
+    int m_running = 0;
+    bool m_endedWell = true;
+};
+
+} // namespace carawayloft
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -206,7 +206,8 @@
         }
         return {replica_number(static_cast<std::uint32_t>(number)),
                 checkedAddress((*table)["frames"].value_or(std::string()), &node, "control.peers.frames"),
-                checkedAddress((*table)["http"].value_or(std::string()), &node, "control.peers.http")};
+                checkedAddress((*table)["http"].value_or(std::string()), &node, "control.peers.http"),
+                {}};
     }
 
     const std::string &m_path;
@@ -273,23 +274,29 @@
 static replica_settings readReplica(settings_reader &in)
 {
     static constexpr std::uint64_t mebibyte = 1U << 20U;
-    return {replica_number(static_cast<std::uint32_t>(in.number("replica", "number"))),
-            in.text("replica", "data"),
-            milliseconds(in, "replica", "heartbeat_period_ms"),
-            milliseconds(in, "replica", "election_timeout_ms"),
-            static_cast<std::uint64_t>(in.number("replica", "entries_to_compact")),
-            milliseconds(in, "replica", "repair_delay_ms"),
-            milliseconds(in, "replica", "settle_time_ms"),
-            static_cast<std::uint32_t>(in.number("replica", "weight_loads_at_once")),
-            seconds(in, "replica", "weight_load_s"),
-            seconds(in, "replica", "drain_s"),
-            static_cast<std::uint64_t>(in.number("replica", "min_free_mb")) * mebibyte};
+    replica_settings replica;
+    replica.number = replica_number(static_cast<std::uint32_t>(in.number("replica", "number")));
+    replica.dataFolder = in.text("replica", "data");
+    replica.heartbeatPeriod = milliseconds(in, "replica", "heartbeat_period_ms");
+    replica.electionTimeout = milliseconds(in, "replica", "election_timeout_ms");
+    replica.entriesToCompact = static_cast<std::uint64_t>(in.number("replica", "entries_to_compact"));
+    replica.repairDelay = milliseconds(in, "replica", "repair_delay_ms");
+    replica.settleTime = milliseconds(in, "replica", "settle_time_ms");
+    replica.weightLoadsAtOnce = static_cast<std::uint32_t>(in.number("replica", "weight_loads_at_once"));
+    replica.weightLoad = seconds(in, "replica", "weight_load_s");
+    replica.drain = seconds(in, "replica", "drain_s");
+    replica.minFreeBytes = static_cast<std::uint64_t>(in.number("replica", "min_free_mb")) * mebibyte;
+    return replica;
 }
 
-static void checkReplica(settings_reader &in, const settings &loaded)
+static void checkReplica(settings_reader &in, settings &loaded)
 {
     const auto isOwn = [&](const control_peer &each) { return each.number == loaded.replica->number; };
-    if (std::none_of(loaded.control.begin(), loaded.control.end(), isOwn)) {
+    const auto own = std::find_if(loaded.control.begin(), loaded.control.end(), isOwn);
+    if (own != loaded.control.end()) {
+        loaded.replica->frames = own->frames;
+        loaded.replica->http = own->http;
+    } else {
         in.fail(nullptr,
                 "replica.number " + std::to_string(loaded.replica->number.value()) + " is not among control.peers",
                 "list this replica there, on every host alike");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -5,6 +5,7 @@
 #include <carawayloft/core/ids.h>
 #include <carawayloft/core/result.h>
 #include <carawayloft/core/units.h>
+#include <carawayloft/gateway/shared_limits.h>
 #include <carawayloft/messages/hello.h>
 
 #include <optional>
@@ -19,6 +20,7 @@
     replica_number number;
     endpoint frames;
     endpoint http;
+    availability_zone_id zone; /**< Empty when not known. */
 };
 
 struct entry_settings {
@@ -36,6 +38,13 @@
     duration stopBound{0};
 };
 
+/** What a replica with an empty disk does. */
+enum class first_start : std::uint8_t {
+    AskPeers, /**< Forms the log if no peer has seen an election, else joins. */
+    Form, /**< The whole system starts for the first time; the listed replicas form the log. */
+    Join, /**< The log exists, and this disk was lost or is new. */
+};
+
 struct replica_settings {
     replica_number number;
     std::string dataFolder;
@@ -48,6 +57,21 @@
     std::chrono::seconds weightLoad{0};
     std::chrono::seconds drain{0};
     std::uint64_t minFreeBytes = 0;
+    first_start firstStart = first_start::AskPeers;
+    std::size_t bytesToCompact = std::size_t{64} << 20U; /**< Bytes of log entries behind the last snapshot that lead to another. */
+    endpoint frames; /**< Where this replica is reached by frames. */
+    endpoint http; /**< Where operators and backend servers reach it. */
+    endpoint metrics; /**< Empty when metrics are read at http. */
+};
+
+/** An entry that sends straight to backend servers. */
+struct gateway_settings {
+    endpoint callers;
+    endpoint readiness;
+    endpoint metrics;
+    fleet_limits limits;
+    duration leaveTime{0}; /**< After the start of a planned stop, time for callers to go elsewhere. */
+    duration stopBound{0}; /**< Longest planned stop; what is still in flight then is cut. */
 };
 
 /** The settings of one process; immutable once loaded. */
@@ -60,6 +84,7 @@
     std::optional<entry_settings> entry;
     std::optional<agent_settings> agent;
     std::optional<replica_settings> replica;
+    std::optional<gateway_settings> gateway;
 };
 
 /** Reads and checks a settings file; an error names the file, the line, the key and the remedy. */
--- a/src/ends/event_log.cpp
+++ b/src/ends/event_log.cpp
@@ -64,7 +64,7 @@
     options() = {process, format};
     const char *pattern = format == log_format::Json ? R"({"time":"%d{ISO8601}","level":"%p","entry":%m}%n)" : "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(log4cxx::LogString(pattern));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
     const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
--- a/src/ends/event_log.h
+++ b/src/ends/event_log.h
@@ -56,7 +56,7 @@
 /** Sets how and from which severity on this process logs; called once before the first event. */
 void configureEventLog(const std::string &process, log_format format, severity threshold);
 
-/** Writes one line for a numbered event to standard error. Safe from any thread. */
+/** Writes one line for a numbered event to standard output. Safe from any thread. */
 void logEvent(event_number event, log_fields fields);
 
 } // namespace carawayloft
--- a/src/ends/frame_link.cpp
+++ b/src/ends/frame_link.cpp
@@ -7,12 +7,19 @@
 #include <asio/write.hpp>
 
 #include <charconv>
+#include <netinet/tcp.h>
 
 namespace carawayloft {
 
 /** Frames that wait are joined into writes of about this many bytes. */
 static constexpr std::size_t writeBatchBytes = std::size_t{64} << 10U;
 
+/** Time that a connection may take to come about. */
+static constexpr duration connectTimeout{1'000};
+
+/** Time after which bytes that the peer's host does not confirm end a connection; a dead host is silent. */
+static constexpr int unconfirmedTimeoutMs = 1'500;
+
 result<asio::ip::tcp::endpoint> parseEndpoint(const endpoint &address)
 {
     const std::string &text = address.value();
@@ -32,6 +39,7 @@
 
 frame_link::frame_link(asio::ip::tcp::socket socket, hello own, link_handler handle)
     : m_socket(std::move(socket))
+    , m_connectTimer(m_socket.get_executor())
     , m_own(std::move(own))
     , m_handle(std::move(handle))
 {
@@ -45,6 +53,12 @@
         asio::post(executor, [link, why = errorOf(address)] { link->fail(why); });
         return link;
     }
+    link->m_connectTimer.expires_after(connectTimeout);
+    link->m_connectTimer.async_wait([weak = std::weak_ptr<frame_link>(link), to](const std::error_code &cancelled) {
+        if (const auto pending = weak.lock(); pending && !cancelled && !pending->m_connected) {
+            pending->fail({error_kind::ConnectionFailed, "cannot connect to " + to.value() + " in time", "check that the host there runs"});
+        }
+    });
     link->m_socket.async_connect(valueOf(address), [link, to](const std::error_code &failure) {
         if (failure) {
             link->fail({error_kind::ConnectionFailed, "cannot connect to " + to.value() + ": " + failure.message(), "check that the process there runs"});
@@ -69,6 +83,9 @@
     }
     std::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> unconfirmedTimeout(unconfirmedTimeoutMs);
+    m_socket.set_option(unconfirmedTimeout, ignored);
+    m_connectTimer.cancel();
     m_connected = true;
     m_queue.push_front(encodeFrame(m_own));
     m_queuedBytes += m_queue.front().size();
--- a/src/ends/frame_link.h
+++ b/src/ends/frame_link.h
@@ -5,6 +5,7 @@
 
 #include <asio/any_io_executor.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <array>
 #include <deque>
@@ -73,6 +74,7 @@
     void fail(error why);
 
     asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_connectTimer;
     hello m_own;
     hello m_peer;
     link_handler m_handle;
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -7,6 +7,9 @@
 #include <curl/curl.h>
 
 #include <map>
+#include <netinet/tcp.h>
+#include <string_view>
+#include <sys/socket.h>
 
 namespace carawayloft {
 
@@ -19,6 +22,7 @@
     curl_slist *headers = nullptr;
     std::string body;
     http_client::handler handle;
+    http_headers received;
     bool started = false;
     bool paused = false;
 
@@ -126,8 +130,12 @@
     }
 
 private:
-    static constexpr long maxIdleConnections = 64;
-    static constexpr long connectTimeoutMs = 2'000;
+    static constexpr long maxIdleConnections = 128;
+    static constexpr long connectTimeoutMs = 1'000;
+    /** Servers close idle connections at times of their own; younger ones are likely to live. */
+    static constexpr long maxIdleSeconds = 4;
+    /** Time after which bytes that the server's host does not confirm end a connection. */
+    static constexpr int unconfirmedTimeoutMs = 1'500;
 
     void configure(transfer &one, const http_call &call)
     {
@@ -140,13 +148,25 @@
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &impl::onNewSocket);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &impl::onHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &one);
         if (!one.body.empty() || call.method == "POST" || call.method == "PUT") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, one.body.c_str());
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(one.body.size()));
         }
-        one.headers = curl_slist_append(one.headers, "Expect:");
+        // libcurl adds these by itself unless they are taken out.
+        for (const char *added : {"Expect", "Accept", "Content-Type"}) {
+            if (!call.headers.contains(added)) {
+                one.headers = curl_slist_append(one.headers, std::string(added).append(":").c_str());
+            }
+        }
         for (const auto &[name, value] : call.headers) {
-            one.headers = curl_slist_append(one.headers, std::string(name).append(": ").append(value).c_str());
+            // libcurl sends a header without a value only when it is written with a semicolon.
+            one.headers = curl_slist_append(one.headers, value.empty() ? (name + ";").c_str() : (name + ": " + value).c_str());
         }
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, one.headers);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &impl::onBytes);
@@ -154,6 +174,31 @@
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &one);
     }
 
+    static int onNewSocket(void *, curl_socket_t socket, curlsocktype)
+    {
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unconfirmedTimeoutMs, sizeof(unconfirmedTimeoutMs));
+        return CURL_SOCKOPT_OK;
+    }
+
+    static std::size_t onHeader(const char *bytes, std::size_t size, std::size_t count, void *user)
+    {
+        auto &one = *static_cast<transfer *>(user);
+        std::string_view line(bytes, size * count);
+        if (line.starts_with("HTTP/")) {
+            one.received.clear();
+            return size * count;
+        }
+        while (!line.empty() && (line.back() == '\r' || line.back() == '\n' || line.back() == ' ')) {
+            line.remove_suffix(1);
+        }
+        const std::size_t colon = line.find(':');
+        if (colon != std::string_view::npos) {
+            const std::size_t value = std::min(line.find_first_not_of(' ', colon + 1), line.size());
+            one.received.emplace(line.substr(0, colon), line.substr(value));
+        }
+        return size * count;
+    }
+
     static void reportStart(transfer &one)
     {
         if (one.started) {
@@ -164,7 +209,7 @@
         const char *contentType = nullptr;
         curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(one.easy, CURLINFO_CONTENT_TYPE, &contentType);
-        one.handle(http_started{static_cast<std::uint32_t>(status), contentType == nullptr ? "" : contentType});
+        one.handle(http_started{static_cast<std::uint32_t>(status), contentType == nullptr ? "" : contentType, std::move(one.received)});
     }
 
     static std::size_t onBytes(const char *bytes, std::size_t size, std::size_t count, void *user)
@@ -277,7 +322,9 @@
             one->handle(http_finished{});
             return;
         }
-        const bool neverSent = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT;
+        long sentBytes = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+        const bool neverSent = sentBytes == 0 && !one->started;
         one->handle(http_failed{{error_kind::ConnectionFailed, curl_easy_strerror(code), "check that the server there runs"}, neverSent});
     }
 
--- a/src/ends/http_client.h
+++ b/src/ends/http_client.h
@@ -18,11 +18,13 @@
     http_headers headers;
     std::string body;
     duration timeout{0}; /**< For the whole call; zero for none. */
+    bool freshConnection = false; /**< Never reuse one, which libcurl would replace and repeat the call on if it is dead. */
 };
 
 struct http_started {
     std::uint32_t status = 0;
     std::string contentType;
+    http_headers headers;
 };
 
 struct http_received {
--- a/src/ends/http_exchange.h
+++ b/src/ends/http_exchange.h
@@ -19,6 +19,9 @@
     void respond(const http_response &response);
     void startStream(const http_response &head);
 
+    /** Whether the connection closes behind the answer; to be set before it begins. */
+    void setClosing(bool closing);
+
     /** Sends @p bytes now; @p sent is called when the caller's side has taken them. */
     void write(std::string bytes, std::function<void()> sent);
 
--- a/src/ends/http_server.cpp
+++ b/src/ends/http_server.cpp
@@ -125,7 +125,7 @@
         }
         *m_hangUp = nullptr;
         auto out = m_request->create_response(statusLine(response.status));
-        addHeaders(out, response);
+        addHeaders(out, response, m_closing);
         out.set_body(response.body);
         out.done();
         m_request.reset();
@@ -139,10 +139,15 @@
         m_connection = restinio::impl::access_req_connection(*m_request);
         m_requestId = m_request->request_id();
         m_stream = std::make_unique<stream>(m_request->create_response<restinio::chunked_output_t>(statusLine(head.status)));
-        addHeaders(*m_stream, head);
+        addHeaders(*m_stream, head, m_closing);
         m_stream->flush();
     }
 
+    void setClosing(bool closing)
+    {
+        m_closing = closing;
+    }
+
     void write(std::string bytes, std::function<void()> sent)
     {
         if (!m_stream) {
@@ -208,12 +213,17 @@
     }
 
     template<class Builder>
-    static void addHeaders(Builder &out, const http_response &response)
+    static void addHeaders(Builder &out, const http_response &response, bool closing)
     {
+        if (closing) {
+            out.connection_close();
+        }
         for (const auto &[name, value] : response.headers) {
             out.append_header(name, value);
         }
-        out.append_header(restinio::http_field::server, "carawayloft");
+        if (!response.headers.contains("Server")) {
+            out.append_header(restinio::http_field::server, "carawayloft");
+        }
     }
 
     void release()
@@ -228,6 +238,7 @@
     std::unique_ptr<stream> m_stream;
     restinio::impl::connection_handle_t m_connection;
     restinio::request_id_t m_requestId = 0;
+    bool m_closing = false;
 };
 
 class http_server::impl
@@ -276,7 +287,10 @@
         request.method = header.method().c_str();
         request.path = std::string(header.path());
         request.query = std::string(header.query());
-        header.for_each_field([&](const auto &each) { request.headers.emplace(each.name(), each.value()); });
+        header.for_each_field([&](const auto &each) {
+            const auto [known, isNew] = request.headers.emplace(each.name(), each.value());
+            known->second += isNew ? std::string() : ", " + each.value();
+        });
         request.body = raw->body();
         m_handle(std::move(request), std::make_shared<http_exchange>(std::make_unique<http_exchange::impl>(std::move(raw), m_watch)));
         return restinio::request_accepted();
@@ -304,6 +318,11 @@
     m_impl->startStream(head);
 }
 
+void http_exchange::setClosing(bool closing)
+{
+    m_impl->setClosing(closing);
+}
+
 void http_exchange::write(std::string bytes, std::function<void()> sent)
 {
     m_impl->write(std::move(bytes), std::move(sent));
--- a/src/ends/http_types.cpp
+++ b/src/ends/http_types.cpp
@@ -3,6 +3,8 @@
 #include <restinio/uri_helpers.hpp>
 
 #include <algorithm>
+#include <cctype>
+#include <set>
 #include <strings.h>
 
 namespace carawayloft {
@@ -12,6 +14,32 @@
     return strcasecmp(left.c_str(), right.c_str()) < 0;
 }
 
+http_headers endToEndHeaders(const http_headers &headers)
+{
+    static const std::set<std::string, header_less> hopByHop{"Connection",
+                                                             "Keep-Alive",
+                                                             "Proxy-Authenticate",
+                                                             "Proxy-Authorization",
+                                                             "Proxy-Connection",
+                                                             "TE",
+                                                             "Trailer",
+                                                             "Transfer-Encoding",
+                                                             "Upgrade",
+                                                             "Content-Length"};
+    http_headers kept;
+    const auto connection = headers.find("Connection");
+    const std::string named = connection == headers.end() ? std::string() : connection->second;
+    for (const auto &[name, value] : headers) {
+        const bool isNamed = std::search(named.begin(), named.end(), name.begin(), name.end(), [](unsigned char left, unsigned char right) {
+                                 return std::tolower(left) == std::tolower(right);
+                             }) != named.end();
+        if (!hopByHop.contains(name) && !isNamed) {
+            kept.emplace(name, value);
+        }
+    }
+    return kept;
+}
+
 std::string http_request::header(const std::string &name) const
 {
     const auto found = headers.find(name);
--- a/src/ends/http_types.h
+++ b/src/ends/http_types.h
@@ -17,6 +17,9 @@
 
 using http_headers = std::map<std::string, std::string, header_less>;
 
+/** The headers that concern more than one connection: without those that HTTP/1.1 names as hop-by-hop. */
+http_headers endToEndHeaders(const http_headers &headers);
+
 struct http_request {
     std::string method;
     std::string path;
--- a/src/ends/timer_service.cpp
+++ b/src/ends/timer_service.cpp
@@ -1,5 +1,7 @@
 #include "ends/timer_service.h"
 
+#include "ends/clock.h"
+
 namespace carawayloft {
 
 timer_service::timer_service(asio::io_context &context)
@@ -53,7 +55,7 @@
         if (due.period.count() > 0) {
             m_due.emplace(now + due.period, due);
         }
-        (*call)(now);
+        (*call)(monotonicNow());
     }
     arm();
 }
--- /dev/null
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -0,0 +1,110 @@
+#include <carawayloft/fleet/backend_registry.h>
+
+namespace carawayloft {
+
+std::vector<backend_registry::output> backend_registry::step(const input &in, time_point now)
+{
+    return std::visit([&](const auto &each) { return take(each, now); }, in);
+}
+
+const backend_registry::entry *backend_registry::find(const backend_id &backend) const
+{
+    const auto found = m_entries.find(backend);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+/** Whether @p record is of the latest start at its address; earlier ones there are gone. */
+bool backend_registry::takesAddress(const backend_record &record, time_point now, std::vector<output> &out)
+{
+    for (auto &[id, other] : m_entries) {
+        if (id == record.backend || other.record.address != record.address || other.record.state == backend_state::Left) {
+            continue;
+        }
+        if (other.record.startedAt > record.startedAt) {
+            return false;
+        }
+        other.record.state = backend_state::Left;
+        other.deadConfirmed = true;
+        other.lostAt = now;
+        out.push_back({id});
+    }
+    return true;
+}
+
+/** Whether two records differ in anything but the time that the server stays cold. */
+static bool differs(const backend_record &left, const backend_record &right)
+{
+    return left.state != right.state || left.address != right.address || left.startedAt != right.startedAt || left.staged != right.staged
+        || left.loaded != right.loaded || left.membership != right.membership || left.zone != right.zone || left.service != right.service
+        || left.fabricDomain != right.fabricDomain || (left.coldLeft.count() > 0) != (right.coldLeft.count() > 0);
+}
+
+std::vector<backend_registry::output> backend_registry::take(const check_in &in, time_point now)
+{
+    std::vector<output> out;
+    const auto known = m_entries.find(in.record.backend);
+    const bool sameStart = known != m_entries.end() && known->second.record.startedAt == in.record.startedAt;
+    if (known != m_entries.end()) {
+        const entry &before = known->second;
+        const bool late = sameStart ? in.record.announcement <= before.record.announcement : in.record.startedAt < before.record.startedAt;
+        if (late || (sameStart && before.record.state == backend_state::Left)) {
+            return out;
+        }
+    }
+    if (!takesAddress(in.record, now, out)) {
+        return out;
+    }
+    entry &current = m_entries[in.record.backend];
+    backend_record record = in.record;
+    if (sameStart && record.loaded.value().empty()) {
+        record.loaded = current.record.loaded;
+    }
+    if (!sameStart || differs(current.record, record)) {
+        out.push_back({record.backend});
+    }
+    current.record = std::move(record);
+    current.heardAt = now;
+    current.coldUntil = now + in.record.coldLeft;
+    current.deadConfirmed = false;
+    return out;
+}
+
+std::vector<backend_registry::output> backend_registry::take(const backend_departure &in, time_point now)
+{
+    const auto known = m_entries.find(in.backend);
+    if (known == m_entries.end() || known->second.record.state == backend_state::Left) {
+        return {};
+    }
+    known->second.record.state = backend_state::Left;
+    known->second.lostAt = now;
+    return {{in.backend}};
+}
+
+std::vector<backend_registry::output> backend_registry::take(const backend_failure &in, time_point now)
+{
+    const auto known = m_entries.find(in.backend);
+    if (known == m_entries.end()) {
+        return {};
+    }
+    entry &current = known->second;
+    if (current.record.state == backend_state::Lost || current.record.state == backend_state::Left) {
+        current.deadConfirmed = current.deadConfirmed || in.confirmed;
+        return {};
+    }
+    current.record.state = backend_state::Lost;
+    current.record.membership = {};
+    current.deadConfirmed = in.confirmed;
+    current.lostAt = now;
+    return {{in.backend}};
+}
+
+std::vector<backend_registry::output> backend_registry::take(const backend_inherited &in, time_point now)
+{
+    if (m_entries.contains(in.record.backend)) {
+        return {};
+    }
+    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, false};
+    return {};
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/gateway_pipe/sliding_count.cpp
@@ -0,0 +1,18 @@
+#include <carawayloft/gateway/sliding_count.h>
+
+namespace carawayloft {
+
+void sliding_count::add(time_point now)
+{
+    m_events.push_back(now);
+}
+
+std::size_t sliding_count::count(time_point now)
+{
+    while (!m_events.empty() && now >= m_events.front() + m_window) {
+        m_events.pop_front();
+    }
+    return m_events.size();
+}
+
+} // namespace carawayloft
--- a/src/order_pipe/agreed_log.cpp
+++ b/src/order_pipe/agreed_log.cpp
@@ -46,7 +46,7 @@
     if (m_role == log_role::Leader) {
         checkQuorum();
         if (m_role == log_role::Leader && m_now >= m_heartbeatDue) {
-            promoteLearner();
+            improveMembers();
             broadcast(true);
         }
         return;
--- a/src/order_pipe/agreed_log_members.cpp
+++ b/src/order_pipe/agreed_log_members.cpp
@@ -7,6 +7,14 @@
 /** A learner this close to the end of the log becomes a voter. */
 static constexpr std::uint64_t promotionLagEntries = 16;
 
+/** A voter that is silent for this long makes room for a learner; a learner is forgotten later. */
+static constexpr duration silentVoterTime{3'000};
+static constexpr duration silentLearnerTime{10'000};
+
+/** Voters that are always allowed, and the number beyond which more would only slow down agreement. */
+static constexpr std::size_t fewestVoters = 3;
+static constexpr std::size_t mostVoters = 5;
+
 void agreed_log::refreshMembers()
 {
     m_members = m_snapshot.members;
@@ -52,27 +60,92 @@
         members.back().role = member_role::Learner;
     } else if (known->replica != in.member.replica) {
         members.erase(known);
+    } else if (known->zone.value().empty() && !in.member.zone.value().empty()) {
+        known->zone = in.member.zone;
     } else {
         return;
     }
     changeMembers(std::move(members));
 }
 
-void agreed_log::promoteLearner()
+/** Whether a quorum is left when any one availability zone is lost. */
+static bool bearsZoneLoss(const std::vector<log_member> &voters)
 {
-    if (membershipPending() || !committedInOwnTerm()) {
-        return;
+    return std::all_of(voters.begin(), voters.end(), [&](const log_member &one) {
+        const auto inZone = std::count_if(voters.begin(), voters.end(), [&](const log_member &each) { return each.zone == one.zone; });
+        return one.zone.value().empty() || static_cast<std::size_t>(inZone) * 2 < voters.size();
+    });
+}
+
+bool agreed_log::isSilent(const log_member &member, duration silence) const
+{
+    const auto progress = m_progress.find(member.replica);
+    return member.replica != m_options.self && progress != m_progress.end() && m_now >= progress->second.heardAt + silence;
+}
+
+bool agreed_log::isCaughtUp(const log_member &member) const
+{
+    const auto progress = m_progress.find(member.replica);
+    return member.role == member_role::Learner && progress != m_progress.end() && !progress->second.probing
+        && !isSilent(member, m_options.electionTimeout) && progress->second.matched.value() + promotionLagEntries >= lastIndex().value();
+}
+
+/**
+ * The next step towards a membership that bears the most: learners that have caught up become voters where
+ * that does not make one zone decide, and voters that fell silent make room for them.
+ */
+std::optional<std::vector<log_member>> agreed_log::betterMembers() const
+{
+    std::vector<log_member> voters;
+    std::vector<log_member> ready;
+    const log_member *silent = nullptr;
+    for (const log_member &each : m_members) {
+        if (each.role == member_role::Voter) {
+            voters.push_back(each);
+            silent = isSilent(each, silentVoterTime) ? &each : silent;
+        } else if (isCaughtUp(each)) {
+            ready.push_back(each);
+        }
     }
     std::vector<log_member> members = m_members;
-    for (log_member &each : members) {
-        const auto progress = m_progress.find(each.replica);
-        if (each.role == member_role::Learner && progress != m_progress.end() && !progress->second.probing
-            && progress->second.matched.value() + promotionLagEntries >= lastIndex().value()) {
-            each.role = member_role::Voter;
-            changeMembers(std::move(members));
-            return;
+    const auto without = [&](replica_id replica) {
+        std::erase_if(members, [&](const log_member &each) { return each.replica == replica; });
+        return members;
+    };
+    const bool even = voters.size() % 2 == 0;
+    if (silent != nullptr && even && voters.size() > fewestVoters) {
+        return without(silent->replica);
+    }
+    for (const log_member &learner : ready) {
+        std::vector<log_member> after = voters;
+        after.push_back(learner);
+        std::vector<log_member> afterAll = voters;
+        afterAll.insert(afterAll.end(), ready.begin(), ready.end());
+        const bool balanced = after.size() <= fewestVoters || bearsZoneLoss(after)
+            || (afterAll.size() == voters.size() + 2 && bearsZoneLoss(afterAll));
+        if (silent != nullptr || even || (balanced && voters.size() < mostVoters)) {
+            for (log_member &each : members) {
+                each.role = each.replica == learner.replica ? member_role::Voter : each.role;
+            }
+            return members;
         }
     }
+    for (const log_member &each : m_members) {
+        if (each.role == member_role::Learner && isSilent(each, silentLearnerTime)) {
+            return without(each.replica);
+        }
+    }
+    return std::nullopt;
+}
+
+void agreed_log::improveMembers()
+{
+    if (membershipPending() || !committedInOwnTerm()) {
+        return;
+    }
+    if (std::optional<std::vector<log_member>> members = betterMembers()) {
+        changeMembers(std::move(*members));
+    }
 }
 
 } // namespace carawayloft
--- a/src/order_pipe/fleet_state.cpp
+++ b/src/order_pipe/fleet_state.cpp
@@ -302,6 +302,14 @@
     return {};
 }
 
+status fleet_state::change(const put_configuration &change, revision)
+{
+    if (change.configuration.version > m_configuration.version) {
+        m_configuration = change.configuration;
+    }
+    return {};
+}
+
 bool fleet_state::restore(const fleet_snapshot &snapshot)
 {
     if (snapshot.at < m_at) {
@@ -311,6 +319,7 @@
     m_at = snapshot.at;
     m_lastOperatorChange = snapshot.lastOperatorChange;
     m_lastAuthor = snapshot.lastAuthor;
+    m_configuration = snapshot.configuration;
     for (const zone_record &each : snapshot.zones) {
         m_zones.emplace(each.zone, each);
     }
@@ -349,7 +358,8 @@
                             valuesOf(m_plans),
                             {},
                             m_lastOperatorChange,
-                            m_lastAuthor};
+                            m_lastAuthor,
+                            m_configuration};
     for (const command_id &each : m_answerOrder) {
         snapshot.answers.push_back(m_answers.at(each));
     }
--- a/src/order_pipe/leader_finder.cpp
+++ b/src/order_pipe/leader_finder.cpp
@@ -1,13 +1,15 @@
 #include <carawayloft/order/leader_finder.h>
 
+#include <algorithm>
+
 namespace carawayloft {
 
 static constexpr duration askPeriod{1'000};
-static constexpr duration silenceToLeave{3'000};
 static constexpr duration reconnectDelay{200};
 
-leader_finder::leader_finder(std::vector<endpoint> replicas)
+leader_finder::leader_finder(std::vector<endpoint> replicas, duration silenceToLeave)
     : m_replicas(std::move(replicas))
+    , m_silenceToLeave(silenceToLeave)
 {
 }
 
@@ -26,6 +28,14 @@
 
 std::vector<leader_finder::output> leader_finder::step(const input &in, time_point now)
 {
+    if (const auto *known = std::get_if<replicas_known>(&in)) {
+        for (const endpoint &each : known->replicas) {
+            if (std::find(m_replicas.begin(), m_replicas.end(), each) == m_replicas.end()) {
+                m_replicas.push_back(each);
+            }
+        }
+        return {};
+    }
     if (std::holds_alternative<leader_heard>(in)) {
         m_silentSince = now;
         return {};
@@ -52,7 +62,7 @@
     if (!m_connecting) {
         return now >= m_connectDue ? connectNext(now) : std::vector<output>();
     }
-    if (now >= m_silentSince + silenceToLeave) {
+    if (now >= m_silentSince + m_silenceToLeave) {
         return connectNext(now);
     }
     if (m_open && now >= m_askDue) {
--- a/src/order_pipe/order_pipe_apply.cpp
+++ b/src/order_pipe/order_pipe_apply.cpp
@@ -24,6 +24,7 @@
 void order_pipe::handle(const entry_committed &out)
 {
     m_applied = out.entry.index;
+    m_bytesApplied += out.entry.payload.size();
     if (out.entry.kind != entry_kind::Command) {
         return;
     }
@@ -158,9 +159,11 @@
 
 void order_pipe::compact()
 {
-    if (m_applied.value() < m_log.snapshotIndex().value() + m_options.entriesToCompact) {
+    const bool manyEntries = m_applied.value() >= m_log.snapshotIndex().value() + m_options.entriesToCompact;
+    if (!manyEntries && m_bytesApplied < m_options.bytesToCompact) {
         return;
     }
+    m_bytesApplied = 0;
     std::vector<std::uint8_t> state = m_options.codec.encodeSnapshot({m_fleet.snapshot(), m_claims.snapshot()});
     const std::size_t size = state.size();
     runLog(log_compact{m_applied, std::move(state)});
--- a/src/order_pipe/publisher.cpp
+++ b/src/order_pipe/publisher.cpp
@@ -7,6 +7,15 @@
 /** Changes kept for processes that come back; older ones get a snapshot. */
 static constexpr std::size_t maxRecent = 1'024;
 
+/** Bytes of configurations kept among them. */
+static constexpr std::size_t maxRecentBytes = std::size_t{2} << 20U;
+
+static std::size_t documentBytes(const publish_change &change)
+{
+    const auto *put = std::get_if<put_configuration>(&change.command.change);
+    return put == nullptr ? 0 : put->configuration.document.size();
+}
+
 std::vector<publisher::output> publisher::step(const input &in, time_point now)
 {
     std::vector<output> out;
@@ -18,9 +27,12 @@
 {
     if (!m_recent.empty() && m_recent.back().at != in.change.after) {
         m_recent.clear();
+        m_recentBytes = 0;
     }
     m_recent.push_back(in.change);
-    if (m_recent.size() > maxRecent) {
+    m_recentBytes += documentBytes(in.change);
+    while (m_recent.size() > maxRecent || (m_recentBytes > maxRecentBytes && m_recent.size() > 1)) {
+        m_recentBytes -= documentBytes(m_recent.front());
         m_recent.pop_front();
     }
     for (const auto &[link, confirmed] : m_subscribers) {
--- a/src/tasks/agent_task.cpp
+++ b/src/tasks/agent_task.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/backend_codec.h"
 #include "codec/openai_codec.h"
+#include "ends/clock.h"
 #include "ends/event_log.h"
 #include "tasks/task_identity.h"
 
@@ -52,7 +53,7 @@
     , m_settings(loaded)
     , m_drained(std::move(drained))
     , m_timers(context)
-    , m_pipe(pipeOptions(loaded), std::chrono::steady_clock::now())
+    , m_pipe(pipeOptions(loaded), monotonicNow())
     , m_client(http_client::create(context))
     , m_members(context,
                 m_timers,
@@ -189,7 +190,7 @@
 
 void agent_task::run(const backend_pipe_input &in)
 {
-    for (const backend_pipe_output &each : m_pipe.step(in, std::chrono::steady_clock::now())) {
+    for (const backend_pipe_output &each : m_pipe.step(in, monotonicNow())) {
         std::visit([this](const auto &out) { act(out); }, each);
     }
 }
--- a/src/tasks/control_session.cpp
+++ b/src/tasks/control_session.cpp
@@ -1,5 +1,6 @@
 #include "tasks/control_session.h"
 
+#include "ends/clock.h"
 #include "ends/event_log.h"
 
 #include <carawayloft/core/overloaded.h>
@@ -9,12 +10,18 @@
 static constexpr duration tickPeriod{100};
 
 control_session::control_session(
-    asio::io_context &context, timer_service &timers, std::vector<endpoint> replicas, hello own, revision_source inForce, handler handle)
+    asio::io_context &context,
+    timer_service &timers,
+    std::vector<endpoint> replicas,
+    hello own,
+    revision_source inForce,
+    handler handle,
+    duration silenceToLeave)
     : m_context(context)
     , m_own(std::move(own))
     , m_inForce(std::move(inForce))
     , m_handle(std::move(handle))
-    , m_finder(std::move(replicas))
+    , m_finder(std::move(replicas), silenceToLeave)
     , m_tick(timers.every(tickPeriod, [this](time_point) { run(finder_tick{}); }))
 {
 }
@@ -28,11 +35,16 @@
 
 void control_session::run(const leader_finder::input &in)
 {
-    for (const leader_finder::output &each : m_finder.step(in, std::chrono::steady_clock::now())) {
+    for (const leader_finder::output &each : m_finder.step(in, monotonicNow())) {
         std::visit([this](const auto &out) { act(out); }, each);
     }
 }
 
+void control_session::learn(const std::vector<endpoint> &replicas)
+{
+    run(replicas_known{replicas});
+}
+
 void control_session::act(const connect_to_control &out)
 {
     if (m_link) {
--- a/src/tasks/control_session.h
+++ b/src/tasks/control_session.h
@@ -17,9 +17,18 @@
     using handler = std::function<void(peer_message)>;
     using revision_source = std::function<revision()>;
 
-    control_session(asio::io_context &context, timer_service &timers, std::vector<endpoint> replicas, hello own, revision_source inForce, handler handle);
+    control_session(asio::io_context &context,
+                    timer_service &timers,
+                    std::vector<endpoint> replicas,
+                    hello own,
+                    revision_source inForce,
+                    handler handle,
+                    duration silenceToLeave = leader_finder::usualSilenceToLeave);
     ~control_session();
 
+    /** Adds replicas that were not known before. */
+    void learn(const std::vector<endpoint> &replicas);
+
     /** Sends to the leader if it is known and reached; else the message is dropped. */
     void act(const send_to_control &out);
 
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -1,6 +1,7 @@
 #include "tasks/control_task.h"
 
 #include "codec/names.h"
+#include "ends/clock.h"
 #include "ends/event_log.h"
 #include "tasks/task_identity.h"
 
@@ -13,9 +14,9 @@
 /** Time for the last frames to leave this process. */
 static constexpr duration endDelay{100};
 
-result<std::unique_ptr<control_task>> control_task::create(asio::io_context &context, const settings &loaded, std::function<void(bool)> ended)
+result<std::unique_ptr<control_task>> control_task::create(asio::io_context &context, const settings &loaded, const front_end *front, std::function<void(bool)> ended)
 {
-    auto task = std::unique_ptr<control_task>(new control_task(context, loaded, std::move(ended)));
+    auto task = std::unique_ptr<control_task>(new control_task(context, loaded, front, std::move(ended)));
     if (status opened = task->openFolder(); failed(opened)) {
         return errorOf(opened);
     }
@@ -25,29 +26,61 @@
     return task;
 }
 
-control_task::control_task(asio::io_context &context, const settings &loaded, std::function<void(bool)> ended)
+control_task::control_task(asio::io_context &context, const settings &loaded, const front_end *front, std::function<void(bool)> ended)
     : m_context(context)
     , m_settings(loaded)
+    , m_frontEnd(front)
+    , m_directory(loaded.control)
     , m_ended(std::move(ended))
     , m_timers(context)
     , m_random(std::random_device()())
     , m_peers(
           context, m_timers, makeHello(loaded, process_role::Control), [this](const endpoint &peer, link_event event) { peerEvent(peer, std::move(event)); })
-    , m_mailbox(context.get_executor(),
-                [this](task_stop) {
-                    if (!m_stopping) {
-                        m_stopping = true;
-                        logEvent(event_number::ProcessStopping, {{"role", "control"}});
-                        m_pipe ? run(control_stop{}) : m_ended(true);
-                    }
-                })
-    , m_stop(m_mailbox.sender())
+    , m_engines(http_client::create(context))
+    , m_mailbox(context.get_executor(), [this](const task_message &message) { std::visit([this](const auto &each) { take(each); }, message); })
+    , m_send(m_mailbox.sender())
 {
 }
 
 void control_task::stop()
 {
-    m_stop({});
+    m_send(task_stop{});
+}
+
+void control_task::learn(std::vector<control_peer> replicas)
+{
+    m_send(replicas_learned{std::move(replicas)});
+}
+
+void control_task::take(const task_stop &)
+{
+    if (!m_stopping) {
+        m_stopping = true;
+        logEvent(event_number::ProcessStopping, {{"role", "control"}});
+        m_pipe ? run(control_stop{}) : m_ended(true);
+    }
+}
+
+void control_task::take(const replicas_learned &in)
+{
+    for (const control_peer &each : in.replicas) {
+        addReplica(each);
+    }
+}
+
+void control_task::addReplica(const control_peer &replica)
+{
+    if (replica.number != m_settings.replica->number && m_directory.add(replica)) {
+        m_peers.add(replica.frames);
+    }
+}
+
+/** Members of the log may be others than the settings name. */
+void control_task::learnMembers()
+{
+    for (const log_member &each : m_pipe->log().members()) {
+        addReplica({numberOf(each.replica), each.frames, each.http, each.zone});
+    }
 }
 
 void control_task::linkEvent(const std::shared_ptr<frame_link> &link, link_event event)
@@ -66,6 +99,7 @@
                 const bool hostile = closed.why.kind == error_kind::MalformedFrame || closed.why.kind == error_kind::VersionMismatch;
                 logEvent(hostile ? event_number::FrameRejected : event_number::LinkClosed, {{"peer", link->peer().process}, {"reason", describe(closed.why)}});
                 const link_id id = m_links.remove(link);
+                runFleet(gateway_lost{id});
                 if (m_pipe) {
                     run(link_lost{id});
                 }
@@ -74,8 +108,11 @@
         event);
 }
 
-void control_task::peerEvent(const endpoint &, link_event event)
+void control_task::peerEvent(const endpoint &peer, link_event event)
 {
+    if (std::holds_alternative<link_opened>(event) && m_leadsFleet) {
+        m_peers.send(peer, m_fleet.whole(monotonicNow()));
+    }
     if (auto *message = std::get_if<link_received>(&event)) {
         received(nullptr, std::move(message->message));
     }
@@ -84,10 +121,8 @@
 void control_task::received(const std::shared_ptr<frame_link> &link, peer_message message)
 {
     if (const auto *probe = std::get_if<formation_probe>(&message)) {
-        for (const control_peer &each : m_settings.control) {
-            if (each.number == probe->from) {
-                m_peers.send(each.frames, formation_reply{m_settings.replica->number, isFormed()});
-            }
+        if (const control_peer *peer = m_directory.find(probe->from)) {
+            m_peers.send(peer->frames, formation_reply{m_settings.replica->number, isFormed()});
         }
     } else if (const auto *reply = std::get_if<formation_reply>(&message)) {
         runFormation(formation_answer{reply->from, reply->formed});
@@ -95,7 +130,14 @@
         return;
     } else if (auto *traffic = std::get_if<log_traffic>(&message)) {
         run(replica_message{std::move(*traffic)});
+    } else if (const auto *mirrored = std::get_if<publish_fleet>(&message)) {
+        runFleet(fleet_mirrored{*mirrored});
+    } else if (const auto *report = std::get_if<gateway_report>(&message); report != nullptr && link) {
+        gatewayReported(m_links.idOf(link), *report);
     } else if (link) {
+        if (const auto *join = std::get_if<join_request>(&message)) {
+            addReplica({numberOf(join->member.replica), join->member.frames, join->member.http, join->member.zone});
+        }
         run(link_message{m_links.idOf(link), std::move(message)});
     }
 }
@@ -105,7 +147,7 @@
     if (m_failed) {
         return;
     }
-    std::vector<order_pipe_output> outputs = m_pipe->step(in, std::chrono::steady_clock::now());
+    std::vector<order_pipe_output> outputs = m_pipe->step(in, monotonicNow());
     m_pending.insert(m_pending.end(), std::make_move_iterator(outputs.begin()), std::make_move_iterator(outputs.end()));
     if (!m_pending.empty() && !m_flushPosted) {
         m_flushPosted = true;
@@ -128,16 +170,18 @@
     }
     const std::vector<disk_operation> operations = m_store.flush();
     if (!operations.empty()) {
-        const auto begun = std::chrono::steady_clock::now();
+        const auto begun = monotonicNow();
         if (status stored = m_folder->perform(operations); failed(stored)) {
             replicaStopped(errorOf(stored));
             return;
         }
-        m_metrics.observe("carawayloft_log_sync_seconds", std::chrono::steady_clock::now() - begun);
+        m_metrics.observe("carawayloft_log_sync_seconds", monotonicNow() - begun);
     }
     for (const order_pipe_output &each : outputs) {
         std::visit([this](const auto &out) { act(out); }, each);
     }
+    m_publishedAt = m_pipe->fleet().at();
+    lookAtConfiguration();
 }
 
 void control_task::replicaStopped(const error &why)
@@ -149,10 +193,8 @@
 
 void control_task::act(const send_to_replica &out)
 {
-    for (const control_peer &each : m_settings.control) {
-        if (each.number == numberOf(out.traffic.to)) {
-            m_peers.send(each.frames, out.traffic);
-        }
+    if (const control_peer *peer = m_directory.find(numberOf(out.traffic.to))) {
+        m_peers.send(peer->frames, out.traffic);
     }
 }
 
@@ -194,7 +236,8 @@
                                                                                        "propose_plan",
                                                                                        "confirm_plan",
                                                                                        "cancel_plan",
-                                                                                       "advance_plan"};
+                                                                                       "advance_plan",
+                                                                                       "put_configuration"};
     return names[change.index()];
 }
 
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -8,7 +8,10 @@
 #include "ends/mailbox.h"
 #include "ends/metrics.h"
 #include "ends/peer_links.h"
+#include "tasks/front_end.h"
+#include "tasks/replica_directory.h"
 
+#include <carawayloft/fleet/fleet_pipe.h>
 #include <carawayloft/order/formation.h>
 #include <carawayloft/order/order_pipe.h>
 
@@ -21,7 +24,11 @@
 {
 public:
     /** Fails on damaged files and on addresses that cannot be listened on. @p ended is called once, with whether all went well. */
-    static result<std::unique_ptr<control_task>> create(asio::io_context &context, const settings &loaded, std::function<void(bool)> ended);
+    static result<std::unique_ptr<control_task>>
+    create(asio::io_context &context, const settings &loaded, const front_end *front, std::function<void(bool)> ended);
+
+    /** More control replicas are known; safe from any thread. */
+    void learn(std::vector<control_peer> replicas);
 
     /** Begins a planned stop; safe from any thread, and a second call changes nothing. */
     void stop();
@@ -29,6 +36,10 @@
 private:
     struct task_stop {
     };
+    struct replicas_learned {
+        std::vector<control_peer> replicas;
+    };
+    using task_message = std::variant<task_stop, replicas_learned>;
 
     /** An operator who waits for an answer, and what to answer with when the log agrees. */
     struct waiting_operator {
@@ -36,7 +47,7 @@
         std::function<http_response(revision at)> answer;
     };
 
-    control_task(asio::io_context &context, const settings &loaded, std::function<void(bool)> ended);
+    control_task(asio::io_context &context, const settings &loaded, const front_end *front, std::function<void(bool)> ended);
 
     // Start.
     status openFolder();
@@ -46,8 +57,14 @@
     void act(const probe_peer &out);
     void act(const form_log &out);
     void act(const join_log &out);
+    status formLog();
+    status joinLog();
     status storeIdentity(replica_id self);
     void askToJoin();
+    void take(const task_stop &);
+    void take(const replicas_learned &in);
+    void addReplica(const control_peer &replica);
+    void learnMembers();
 
     /** Whether this replica's log has seen an election, or came in later. */
     bool isFormed() const;
@@ -76,6 +93,31 @@
     {
     }
 
+    // The fleet of backend servers.
+    void runFleet(const fleet_pipe_input &in);
+    void act(const publish_to_gateway &out);
+    void act(const grant_to_gateway &out);
+    void act(const mirror_fleet &out);
+    void act(const order_engine &out);
+    void act(const probe_backend &out);
+    void act(const backend_noticed &out);
+    void act(const group_changed &out);
+    void act(const group_retired &out);
+    void lookAtLeadership();
+    void lookAtConfiguration();
+    void gatewayReported(link_id gateway, const gateway_report &report);
+    bool leadsFleet() const;
+    std::vector<endpoint> replicaFrames() const;
+
+    // What the front end asks.
+    bool serveFrontEnd(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
+    void redirectToLeader(const http_request &request, http_exchange &exchange) const;
+    void serveCall(const configuration_change &call, const std::shared_ptr<http_exchange> &exchange);
+    void serveCall(const configuration_question &call, const std::shared_ptr<http_exchange> &exchange);
+    void serveCall(const zone_change &call, const std::shared_ptr<http_exchange> &exchange);
+    void serveCall(const check_in &call, const std::shared_ptr<http_exchange> &exchange);
+    void serveCall(const backend_departure &call, const std::shared_ptr<http_exchange> &exchange);
+
     // Operators.
     void serve(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     void serveRead(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
@@ -87,6 +129,8 @@
 
     asio::io_context &m_context;
     settings m_settings;
+    const front_end *m_frontEnd = nullptr; /**< Of the installation, beside the own interface; may be null. */
+    replica_directory m_directory;
     std::function<void(bool)> m_ended;
     timer_service m_timers;
     metrics m_metrics;
@@ -106,9 +150,17 @@
     std::map<service_id, std::size_t> m_stranded;
     std::unique_ptr<frame_listener> m_listener;
     std::unique_ptr<http_server> m_http;
+    std::unique_ptr<http_server> m_metricsHttp;
+    fleet_pipe m_fleet;
+    bool m_leadsFleet = false;
+    configuration_version m_fleetVersion;
+    std::set<availability_zone_id> m_zonesOut;
+    revision m_publishedAt; /**< Up to which all has been sent to subscribers. */
+    log_index m_membersSeenAt;
     peer_links m_peers;
-    mailbox<task_stop> m_mailbox;
-    std::function<void(task_stop)> m_stop;
+    std::unique_ptr<http_client> m_engines;
+    mailbox<task_message> m_mailbox;
+    std::function<void(task_message)> m_send;
     timer_service::subscription m_tick;
     timer_service::subscription m_joinTick;
     timer_service::subscription m_endTimer;
--- /dev/null
+++ b/src/tasks/control_task_fleet.cpp
@@ -0,0 +1,253 @@
+#include "tasks/control_task.h"
+
+#include "codec/operator_codec.h"
+#include "ends/clock.h"
+#include "ends/event_log.h"
+#include "ends/reach_test.h"
+
+#include <carawayloft/core/overloaded.h>
+
+namespace carawayloft {
+
+/** Time in which a backend server that runs accepts a connection, also from another zone. */
+static constexpr duration reachPatience{200};
+
+static constexpr std::uint32_t serviceUnavailable = 503;
+static constexpr const char *jsonType = "application/json";
+
+void control_task::runFleet(const fleet_pipe_input &in)
+{
+    for (const fleet_pipe_output &each : m_fleet.step(in, monotonicNow())) {
+        std::visit([this](const auto &out) { act(out); }, each);
+    }
+}
+
+void control_task::act(const publish_to_gateway &out)
+{
+    m_links.send(out.gateway, out.publication);
+}
+
+void control_task::act(const grant_to_gateway &out)
+{
+    m_links.send(out.gateway, out.grant);
+}
+
+void control_task::act(const mirror_fleet &out)
+{
+    for (const log_member &each : m_pipe->log().members()) {
+        if (each.replica != m_self) {
+            m_peers.send(each.frames, out.publication);
+        }
+    }
+}
+
+static std::string describeOrder(const engine_order &order)
+{
+    return std::visit(overloaded{
+                          [](const join_group &each) {
+                              std::string members;
+                              for (const backend_id &member : each.members) {
+                                  members += (members.empty() ? "" : ",") + member.value();
+                              }
+                              return "join " + std::to_string(each.epoch.value()) + " " + each.model.value() + " " + members;
+                          },
+                          [](const open_group &each) { return "open " + std::to_string(each.epoch.value()); },
+                          [](const close_group &each) { return (each.preempt ? "preempt " : "close ") + std::to_string(each.epoch.value()); },
+                          [](const leave_group &each) { return "leave " + std::to_string(each.epoch.value()); },
+                      },
+                      order);
+}
+
+void control_task::act(const order_engine &out)
+{
+    static constexpr std::array<const char *, 6> outcomes{"begun", "done", "conflict", "fenced", "wrong backend", "unanswered"};
+    logEvent(event_number::EngineOrdered, {{"order", out.order}, {"backend", out.backend}, {"what", describeOrder(out.what)}, {"fence", out.fence}});
+    const auto outcome = std::make_shared<order_outcome>(order_outcome::Unanswered);
+    m_engines->start(m_frontEnd->encodeOrder(out), [this, outcome, order = out.order, backend = out.backend](const http_event &event) {
+        if (const auto *started = std::get_if<http_started>(&event)) {
+            *outcome = m_frontEnd->decodeOrderAnswer(started->status);
+        }
+        if (std::holds_alternative<http_finished>(event) || std::holds_alternative<http_failed>(event)) {
+            const auto *failure = std::get_if<http_failed>(&event);
+            logEvent(event_number::EngineOrderAnswered,
+                     {{"order", order},
+                      {"backend", backend},
+                      {"outcome", outcomes[static_cast<std::size_t>(*outcome)]},
+                      {"reason", failure == nullptr ? std::string() : failure->why.what}});
+            runFleet(order_finished{order, *outcome});
+        }
+    });
+}
+
+void control_task::act(const probe_backend &out)
+{
+    testReach(m_context, out.address, reachPatience, [this, out](bool reachable) {
+        logEvent(event_number::BackendProbed, {{"backend", out.backend}, {"reachable", reachable ? 1 : 0}});
+        runFleet(probe_finished{out.probe, reachable});
+    });
+}
+
+void control_task::act(const backend_noticed &out)
+{
+    static constexpr std::array<const char *, 4> states{"ready", "draining", "left", "lost"};
+    static constexpr std::array<const char *, 6> memberships{"none", "joining", "ready", "open", "closing", "broken"};
+    logEvent(event_number::BackendNoticed,
+             {{"backend", out.record.backend},
+              {"state", states[static_cast<std::size_t>(out.record.state)]},
+              {"domain", out.record.fabricDomain},
+              {"group", out.record.membership.epoch},
+              {"membership", memberships[static_cast<std::size_t>(out.record.membership.state)]},
+              {"loaded", out.record.loaded},
+              {"staged", out.record.staged.empty() ? std::string() : out.record.staged.back().value()},
+              {"cold_ms", out.record.coldLeft.count()},
+              {"reason", out.reason}});
+}
+
+void control_task::act(const group_changed &out)
+{
+    static constexpr std::array<const char *, 4> phases{"forming", "opening", "open", "closing"};
+    logEvent(event_number::EngineGroupChanged,
+             {{"group", out.group.epoch},
+              {"phase", phases[static_cast<std::size_t>(out.group.phase)]},
+              {"model", out.group.model},
+              {"head", out.group.head()},
+              {"reason", out.reason}});
+}
+
+void control_task::act(const group_retired &out)
+{
+    logEvent(event_number::EngineGroupRetired, {{"group", out.epoch}, {"reason", out.reason}});
+}
+
+/** The fleet is led from when this replica surely is the only leader, until it leads no more. */
+void control_task::lookAtLeadership()
+{
+    learnMembers();
+    const bool isLeader = m_pipe->log().role() == log_role::Leader;
+    const bool leads = isLeader && (m_leadsFleet || m_pipe->log().holdsLeaderLease(monotonicNow()));
+    if (leads != m_leadsFleet) {
+        m_leadsFleet = leads;
+        logEvent(event_number::FleetLed, {{"leads", leads ? 1 : 0}, {"term", m_pipe->log().term()}});
+        runFleet(leadership_changed{leads, m_pipe->log().term()});
+    }
+}
+
+bool control_task::leadsFleet() const
+{
+    return m_leadsFleet && !m_stopping && m_pipe->log().holdsLeaderLease(monotonicNow());
+}
+
+/** Passes on what the agreed state says of services and availability zones. */
+void control_task::lookAtConfiguration()
+{
+    const fleet_state &state = m_pipe->fleet();
+    if (m_frontEnd != nullptr && state.configuration().version != m_fleetVersion) {
+        m_fleetVersion = state.configuration().version;
+        const result<service_configuration> read = m_frontEnd->readConfiguration(state.configuration().document);
+        if (failed(read)) {
+            logEvent(event_number::ConfigurationUnreadable, {{"version", m_fleetVersion}, {"reason", describe(errorOf(read))}});
+        } else {
+            runFleet(services_changed{valueOf(read).services()});
+        }
+    }
+    std::set<availability_zone_id> out;
+    for (const auto &[zone, record] : state.zones()) {
+        if (!state.acceptsWork(zone)) {
+            out.insert(zone);
+        }
+    }
+    if (out != m_zonesOut) {
+        m_zonesOut = out;
+        runFleet(zones_out_changed{out});
+    }
+}
+
+std::vector<endpoint> control_task::replicaFrames() const
+{
+    std::vector<endpoint> frames;
+    for (const log_member &each : m_pipe->log().members()) {
+        frames.push_back(each.frames);
+    }
+    return frames;
+}
+
+void control_task::gatewayReported(link_id gateway, const gateway_report &report)
+{
+    if (leadsFleet()) {
+        runFleet(gateway_reported{gateway, report, m_publishedAt, replicaFrames()});
+        return;
+    }
+    endpoint leader;
+    for (const log_member &each : m_pipe->log().members()) {
+        if (each.replica == m_pipe->log().leader() && each.replica != m_self) {
+            leader = each.frames;
+        }
+    }
+    m_links.send(gateway, not_leader{leader});
+}
+
+bool control_task::serveFrontEnd(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
+{
+    const result<std::optional<control_call>> call = m_frontEnd->decodeControlCall(request);
+    if (failed(call)) {
+        logEvent(event_number::RequestRejected, {{"path", request.path}, {"reason", describe(errorOf(call))}});
+        respondError(*exchange, errorOf(call));
+        return true;
+    }
+    if (!valueOf(call)) {
+        return false;
+    }
+    if (!m_pipe || m_pipe->log().role() != log_role::Leader) {
+        redirectToLeader(request, *exchange);
+    } else {
+        std::visit([&](const auto &each) { serveCall(each, exchange); }, *valueOf(call));
+    }
+    return true;
+}
+
+void control_task::serveCall(const configuration_change &call, const std::shared_ptr<http_exchange> &exchange)
+{
+    const operator_token token = wait(exchange, [](revision at) { return http_response{200, {{"Content-Type", jsonType}}, encodeAccepted(at)}; });
+    if (call.configuration.version <= m_pipe->fleet().configuration().version) {
+        // Overtaken already: nothing to change, but only a replica that surely leads may say so.
+        run(operator_read{token});
+    } else {
+        run(operator_change{token, fleet_command{{}, "operator", {}, put_configuration{call.configuration}}});
+    }
+}
+
+void control_task::serveCall(const configuration_question &, const std::shared_ptr<http_exchange> &exchange)
+{
+    run(operator_read{wait(exchange, [this](revision) {
+        const configuration_record &held = m_pipe->fleet().configuration();
+        return held.version.value() == 0 ? http_response{serviceUnavailable, {}, {}} : http_response{200, {{"Content-Type", jsonType}}, held.document};
+    })});
+}
+
+void control_task::serveCall(const zone_change &call, const std::shared_ptr<http_exchange> &exchange)
+{
+    const operator_token token = wait(exchange, [](revision at) { return http_response{200, {{"Content-Type", jsonType}}, encodeAccepted(at)}; });
+    run(operator_change{token, fleet_command{{}, "operator", {}, put_zone{call.zone}}, true});
+}
+
+void control_task::serveCall(const check_in &call, const std::shared_ptr<http_exchange> &exchange)
+{
+    if (!leadsFleet()) {
+        exchange->respond({serviceUnavailable, {}, {}});
+        return;
+    }
+    runFleet(check_in_received{call});
+    exchange->respond(m_frontEnd->encodeCheckInTaken({m_settings.replica->http}));
+}
+
+void control_task::serveCall(const backend_departure &call, const std::shared_ptr<http_exchange> &exchange)
+{
+    if (!leadsFleet()) {
+        exchange->respond({serviceUnavailable, {}, {}});
+        return;
+    }
+    runFleet(departure_received{call});
+    exchange->respond({200, {}, {}});
+}
+
+} // namespace carawayloft
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/openai_codec.h"
 #include "codec/operator_codec.h"
+#include "ends/clock.h"
 #include "ends/event_log.h"
 #include "tasks/task_identity.h"
 
@@ -52,6 +53,9 @@
 
 endpoint control_task::leaderHttp() const
 {
+    if (!m_pipe || m_pipe->log().leader() == m_self) {
+        return {};
+    }
     for (const log_member &each : m_pipe->log().members()) {
         if (each.replica == m_pipe->log().leader()) {
             return each.http;
@@ -67,17 +71,12 @@
         exchange->respond({ready ? 200U : 503U, {{"Content-Type", "text/plain"}}, ready ? "ok\n" : "not ready\n"});
     } else if (request.path == "/metrics") {
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
+    } else if (m_frontEnd != nullptr && serveFrontEnd(request, exchange)) {
+        return;
     } else if (!m_pipe) {
         respondError(*exchange, {error_kind::NotReady, "this replica is not part of the log yet", "wait until every control replica was reached once"});
     } else if (m_pipe->log().role() != log_role::Leader) {
-        const endpoint leader = leaderHttp();
-        http_response response
-            = jsonResponse(leader.value().empty() ? 503 : 307, encodeError({error_kind::NotLeader, "this control replica does not lead", "ask the leader"}));
-        if (!leader.value().empty()) {
-            const std::string query = request.query.empty() ? std::string() : "?" + request.query;
-            response.headers.emplace("Location", "http://" + leader.value() + request.path + query);
-        }
-        exchange->respond(response);
+        redirectToLeader(request, *exchange);
     } else if (request.path == "/v1/commands" && request.method == "POST") {
         serveCommand(request, exchange);
     } else if (request.method == "GET" && request.path.starts_with(apiPrefix)) {
@@ -89,6 +88,18 @@
     }
 }
 
+void control_task::redirectToLeader(const http_request &request, http_exchange &exchange) const
+{
+    const endpoint leader = leaderHttp();
+    http_response response
+        = jsonResponse(leader.value().empty() ? 503 : 307, encodeError({error_kind::NotLeader, "this control replica does not lead", "ask the leader"}));
+    if (!leader.value().empty()) {
+        const std::string query = request.query.empty() ? std::string() : "?" + request.query;
+        response.headers.emplace("Location", "http://" + leader.value() + request.path + query);
+    }
+    exchange.respond(response);
+}
+
 operator_token control_task::wait(const std::shared_ptr<http_exchange> &exchange, std::function<http_response(revision)> answer)
 {
     m_lastOperator = next(m_lastOperator);
@@ -100,7 +111,7 @@
 {
     result<std::string> body = std::string();
     if (request.path == "/v1/status") {
-        body = encodeStatus(pipe, std::chrono::steady_clock::now());
+        body = encodeStatus(pipe, monotonicNow());
     } else if (request.path.starts_with(planPrefix)) {
         std::uint64_t number = 0;
         std::from_chars(request.path.data() + planPrefix.size(), request.path.data() + request.path.size(), number);
--- a/src/tasks/control_task_start.cpp
+++ b/src/tasks/control_task_start.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/flat_codec.h"
 #include "codec/payload_codec.h"
+#include "ends/clock.h"
 #include "ends/event_log.h"
 #include "tasks/task_identity.h"
 
@@ -11,7 +12,7 @@
 
 static constexpr duration tickPeriod{20};
 static constexpr duration formationPeriod{100};
-static constexpr duration joinPeriod{500};
+static constexpr duration joinPeriod{300};
 static constexpr const char *identityFile = "identity";
 
 /** The term in which the first members stand before any election. */
@@ -53,16 +54,11 @@
     std::vector<log_member> members;
     members.reserve(loaded.control.size());
     for (const control_peer &each : loaded.control) {
-        members.push_back({makeReplicaId(each.number, initialDiskIncarnation), member_role::Voter, each.frames, each.http});
+        members.push_back({makeReplicaId(each.number, initialDiskIncarnation), member_role::Voter, each.frames, each.http, each.zone});
     }
     return members;
 }
 
-static const control_peer &ownPeer(const settings &loaded)
-{
-    return *std::find_if(loaded.control.begin(), loaded.control.end(), [&](const control_peer &each) { return each.number == loaded.replica->number; });
-}
-
 status control_task::openFolder()
 {
     auto folder = data_folder::open(m_settings.replica->dataFolder);
@@ -89,6 +85,9 @@
     if (valueOf(identity)) {
         return startLog(*valueOf(identity), std::move(valueOf(opened).recovered));
     }
+    if (m_settings.replica->firstStart != first_start::AskPeers) {
+        return m_settings.replica->firstStart == first_start::Form ? formLog() : joinLog();
+    }
     std::set<replica_number> others;
     for (const control_peer &each : m_settings.control) {
         if (each.number != m_settings.replica->number) {
@@ -102,7 +101,7 @@
 
 status control_task::listen()
 {
-    const control_peer &own = ownPeer(m_settings);
+    const replica_settings &own = *m_settings.replica;
     auto listener = frame_listener::create(
         m_context, own.frames, makeHello(m_settings, process_role::Control), [this](const auto &link, link_event event) { linkEvent(link, std::move(event)); });
     if (failed(listener)) {
@@ -115,6 +114,15 @@
         return errorOf(http);
     }
     m_http = std::move(valueOf(http));
+    if (!own.metrics.value().empty()) {
+        auto metricsHttp = http_server::create(m_context, own.metrics, {}, [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+            exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
+        });
+        if (failed(metricsHttp)) {
+            return errorOf(metricsHttp);
+        }
+        m_metricsHttp = std::move(valueOf(metricsHttp));
+    }
     std::set<endpoint> others;
     for (const control_peer &each : m_settings.control) {
         if (each.number != own.number) {
@@ -132,7 +140,7 @@
 
 status control_task::startLog(replica_id self, recovered_log recovered)
 {
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = monotonicNow();
     m_self = self;
     const bool isFirst = self == makeReplicaId(m_settings.replica->number, initialDiskIncarnation);
     if (isFirst && recovered.entries.empty() && recovered.snapshot.index.value() == 0) {
@@ -161,13 +169,19 @@
                                          flatPayloadCodec(),
                                          {own.repairDelay, own.settleTime, own.weightLoadsAtOnce},
                                          {own.weightLoad, own.weightLoadsAtOnce, own.drain},
-                                         own.entriesToCompact};
+                                         own.entriesToCompact,
+                                         own.bytesToCompact};
     auto pipe = order_pipe::create(pipeOptions, std::move(valueOf(log)), snapshot);
     if (failed(pipe)) {
         return errorOf(pipe);
     }
     m_pipe.emplace(std::move(valueOf(pipe)));
-    m_tick = m_timers.every(tickPeriod, [this](time_point) { run(control_tick{wallNow()}); });
+    learnMembers();
+    m_tick = m_timers.every(tickPeriod, [this](time_point) {
+        run(control_tick{wallNow()});
+        lookAtLeadership();
+        runFleet(fleet_tick{});
+    });
     m_joinTick = m_timers.every(joinPeriod, [this](time_point) { askToJoin(); });
     return {};
 }
@@ -177,53 +191,63 @@
     if (!m_formation) {
         return;
     }
-    for (const formation_output &each : m_formation->step(in, std::chrono::steady_clock::now())) {
+    for (const formation_output &each : m_formation->step(in, monotonicNow())) {
         std::visit([this](const auto &out) { act(out); }, each);
     }
 }
 
 void control_task::act(const probe_peer &out)
 {
-    for (const control_peer &each : m_settings.control) {
-        if (each.number == out.peer) {
-            m_peers.send(each.frames, formation_probe{m_settings.replica->number});
-        }
+    if (const control_peer *peer = m_directory.find(out.peer)) {
+        m_peers.send(peer->frames, formation_probe{m_settings.replica->number});
     }
 }
 
 void control_task::act(const form_log &)
 {
-    const replica_id self = makeReplicaId(m_settings.replica->number, initialDiskIncarnation);
-    logEvent(event_number::LogFormed, {{"replica", self}});
-    status done = storeIdentity(self);
-    done = failed(done) ? done : startLog(self, {});
-    if (failed(done)) {
+    if (status done = formLog(); failed(done)) {
         replicaStopped(errorOf(done));
     }
 }
 
 void control_task::act(const join_log &)
+{
+    if (status done = joinLog(); failed(done)) {
+        replicaStopped(errorOf(done));
+    }
+}
+
+status control_task::formLog()
+{
+    const replica_id self = makeReplicaId(m_settings.replica->number, initialDiskIncarnation);
+    logEvent(event_number::LogFormed, {{"replica", self}});
+    const status done = storeIdentity(self);
+    return failed(done) ? done : startLog(self, {});
+}
+
+status control_task::joinLog()
 {
     std::uniform_int_distribution<std::uint32_t> incarnations(initialDiskIncarnation + 1);
     const replica_id self = makeReplicaId(m_settings.replica->number, incarnations(m_random));
     logEvent(event_number::ReplicaJoining, {{"replica", self}});
-    status done = storeIdentity(self);
-    done = failed(done) ? done : startLog(self, {});
-    if (failed(done)) {
-        replicaStopped(errorOf(done));
-    }
+    const status done = storeIdentity(self);
+    return failed(done) ? done : startLog(self, {});
 }
 
 void control_task::askToJoin()
 {
     const auto &members = m_pipe->log().members();
-    const bool isMember = std::any_of(members.begin(), members.end(), [this](const log_member &each) { return each.replica == m_self; });
-    if (isMember) {
+    const auto own = std::find_if(members.begin(), members.end(), [this](const log_member &each) { return each.replica == m_self; });
+    const bool isKnown = own != members.end() && own->zone == m_settings.zone;
+    // A member that hears no leader may have been taken out of the membership while it was away.
+    if (isKnown && m_pipe->log().leader().value() != 0) {
         return;
     }
-    const control_peer &own = ownPeer(m_settings);
-    for (const control_peer &each : m_settings.control) {
-        m_peers.send(each.frames, join_request{{m_self, member_role::Learner, own.frames, own.http}});
+    const replica_settings &here = *m_settings.replica;
+    for (const auto &[number, each] : m_directory.all()) {
+        if (number != here.number) {
+            m_peers.send(each.frames, join_request{{m_self, member_role::Learner, here.frames, here.http, m_settings.zone}});
+        }
     }
 }
 
--- a/src/tasks/entry_task.cpp
+++ b/src/tasks/entry_task.cpp
@@ -1,6 +1,7 @@
 #include "tasks/entry_task.h"
 
 #include "codec/openai_codec.h"
+#include "ends/clock.h"
 #include "ends/digest.h"
 #include "ends/event_log.h"
 #include "tasks/task_identity.h"
@@ -252,7 +253,7 @@
 
 void entry_task::run(const request_pipe_input &in)
 {
-    for (const request_pipe_output &each : m_pipe.step(in, std::chrono::steady_clock::now())) {
+    for (const request_pipe_output &each : m_pipe.step(in, monotonicNow())) {
         std::visit([this](const auto &out) { act(out); }, each);
     }
 }
--- /dev/null
+++ b/src/tasks/front_end.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "ends/http_client.h"
+#include "ends/http_types.h"
+
+#include <carawayloft/fleet/fleet_pipe_messages.h>
+#include <carawayloft/gateway/gateway_messages.h>
+
+#include <optional>
+
+namespace carawayloft {
+
+// What operators and backend servers ask of control.
+
+/** A validated configuration to put in force. */
+struct configuration_change {
+    configuration_record configuration;
+};
+
+struct configuration_question {
+};
+
+/** Take an availability zone out of service, or back. */
+struct zone_change {
+    zone_record zone;
+};
+
+using control_call = std::variant<configuration_change, configuration_question, zone_change, check_in, backend_departure>;
+
+/** The answer to a check-in: where to announce itself from now on. */
+struct check_in_taken {
+    endpoint announceTo;
+};
+
+/** How the tasks speak to the callers, backend servers and operators of one installation. Functions without state. */
+struct front_end {
+    /** Nothing when the request is for other parts of the system. Fails with InvalidRequest. */
+    result<std::optional<control_call>> (*decodeControlCall)(const http_request &request);
+    http_response (*encodeCheckInTaken)(const check_in_taken &answer);
+    result<service_configuration> (*readConfiguration)(const std::string &document);
+
+    http_call (*encodeOrder)(const order_engine &order);
+    order_outcome (*decodeOrderAnswer)(std::uint32_t status);
+
+    /** Fails with InvalidRequest. The request's id is left to the task. */
+    result<caller_call> (*decodeCall)(const http_request &request);
+    http_call (*encodeCall)(const http_request &request, const call_backend &call);
+    backend_answered (*decodeAnswer)(const http_started &answer, const http_request &request, backend_call_id call);
+    http_response (*encodeRefusal)(const reject_caller &refusal, const std::string &callerName);
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/gateway_task.cpp
@@ -0,0 +1,395 @@
+#include "tasks/gateway_task.h"
+
+#include "ends/clock.h"
+#include "ends/event_log.h"
+#include "ends/reach_test.h"
+#include "tasks/task_identity.h"
+
+#include <carawayloft/core/overloaded.h>
+
+#include <random>
+
+namespace carawayloft {
+
+static constexpr duration tickPeriod{20};
+
+/** Silence of the leader after which a gateway asks another replica: a few unanswered reports. */
+static constexpr duration leaderSilence{900};
+
+/** Time in which a backend server that runs accepts a connection. */
+static constexpr duration reachPatience{60};
+
+/** Time over the caller's limit that a call to a backend server may take before libcurl ends it. */
+static constexpr duration callGrace{250};
+
+/** Time for the last bytes to leave this process. */
+static constexpr duration endDelay{150};
+
+/** Before the end of a stop, new requests are refused, so that those in flight can end. */
+static constexpr duration lastRequestTime{1'500};
+static constexpr duration stopRetryAfter{100};
+
+result<std::unique_ptr<gateway_task>>
+gateway_task::create(asio::io_context &context, const settings &loaded, const front_end &front, std::function<void()> drained)
+{
+    auto task = std::unique_ptr<gateway_task>(new gateway_task(context, loaded, front, std::move(drained)));
+    if (status listening = task->listen(); failed(listening)) {
+        return errorOf(listening);
+    }
+    return task;
+}
+
+gateway_task::gateway_task(asio::io_context &context, const settings &loaded, const front_end &front, std::function<void()> drained)
+    : m_context(context)
+    , m_settings(loaded)
+    , m_frontEnd(front)
+    , m_drained(std::move(drained))
+    , m_timers(context)
+    , m_pipe({loaded.zone, loaded.gateway->limits, std::random_device()()})
+    , m_client(http_client::create(context))
+    , m_control(
+          context,
+          m_timers,
+          controlEndpoints(loaded),
+          makeHello(loaded, process_role::Gateway),
+          [this] { return m_pipe.fleet().at(); },
+          [this](peer_message message) { run(control_message{std::move(message)}); },
+          leaderSilence)
+    , m_mailbox(context.get_executor(), [this](const task_message &message) { std::visit([this](const auto &each) { take(each); }, message); })
+    , m_send(m_mailbox.sender())
+    , m_tick(m_timers.every(tickPeriod, [this](time_point) { run(request_tick{wallNow()}); }))
+{
+}
+
+status gateway_task::listen()
+{
+    const gateway_settings &own = *m_settings.gateway;
+    auto callers = http_server::create(m_context, own.callers, {}, [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+        serve(std::move(request), std::move(exchange));
+    });
+    if (failed(callers)) {
+        return errorOf(callers);
+    }
+    m_callers = std::move(valueOf(callers));
+    auto readiness = http_server::create(m_context, own.readiness, {}, [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+        const bool ready = !m_stopping && m_pipe.isReady(monotonicNow());
+        exchange->respond({ready ? 200U : 503U, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"});
+    });
+    if (failed(readiness)) {
+        return errorOf(readiness);
+    }
+    m_readiness = std::move(valueOf(readiness));
+    auto metricsHttp = http_server::create(m_context, own.metrics, {}, [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+        exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
+    });
+    if (failed(metricsHttp)) {
+        return errorOf(metricsHttp);
+    }
+    m_metricsHttp = std::move(valueOf(metricsHttp));
+    return {};
+}
+
+void gateway_task::learn(std::vector<control_peer> replicas)
+{
+    m_send(replicas_learned{std::move(replicas)});
+}
+
+void gateway_task::stop()
+{
+    m_send(task_stop{});
+}
+
+void gateway_task::take(const replicas_learned &in)
+{
+    std::vector<endpoint> frames;
+    for (const control_peer &each : in.replicas) {
+        frames.push_back(each.frames);
+    }
+    m_control.learn(frames);
+}
+
+void gateway_task::take(const task_stop &)
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_refusesFrom = monotonicNow() + m_settings.gateway->stopBound - lastRequestTime;
+    logEvent(event_number::ProcessStopping, {{"role", "gateway"}, {"in_flight", m_pipe.inFlight()}});
+    m_leaveTimer = m_timers.after(m_settings.gateway->leaveTime, [this](time_point) { leave(); });
+    m_stopBound = m_timers.after(m_settings.gateway->stopBound, [this](time_point) {
+        if (m_pipe.inFlight() > 0) {
+            logEvent(event_number::StopOverdue, {{"role", "gateway"}, {"cut", m_pipe.inFlight()}, {"bound_ms", m_settings.gateway->stopBound.count()}});
+        }
+        end();
+    });
+}
+
+/** Callers had time to go elsewhere: what is in flight is finished, then the process ends. */
+void gateway_task::leave()
+{
+    m_callers->stopListening();
+    run(request_stop{});
+}
+
+void gateway_task::act(const requests_drained &)
+{
+    m_endTimer = m_timers.after(endDelay, [this](time_point) { end(); });
+}
+
+void gateway_task::end()
+{
+    if (!std::exchange(m_ended, true)) {
+        m_drained();
+    }
+}
+
+void gateway_task::serve(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    result<caller_call> decoded = m_frontEnd.decodeCall(request);
+    m_lastRequest = next(m_lastRequest);
+    const request_id id = m_lastRequest;
+    if (failed(decoded)) {
+        logEvent(event_number::RequestRejected, {{"request", id}, {"reason", describe(errorOf(decoded))}});
+        exchange->respond(m_frontEnd.encodeRefusal({id, 400, errorOf(decoded), run_outcome::DidNotRun, {}}, {}));
+        return;
+    }
+    if (m_stopping && monotonicNow() >= m_refusesFrom) {
+        exchange->setClosing(true);
+        exchange->respond(m_frontEnd.encodeRefusal(
+            {id, 503, {error_kind::Stopping, "this process stops", "send the request again, on another connection"}, run_outcome::DidNotRun, stopRetryAfter},
+            valueOf(decoded).name));
+        return;
+    }
+    caller_call &call = valueOf(decoded);
+    call.request = id;
+    exchange->setClosing(m_stopping);
+    exchange->onHangUp([this, id] {
+        if (m_requests.contains(id)) {
+            logEvent(event_number::CallerGone, {{"request", nameOf(id)}});
+            run(caller_gone{id});
+            m_requests.erase(id);
+        }
+    });
+    m_requests.emplace(id, open_request{std::move(request), std::move(exchange), call.name, false});
+    run(call);
+}
+
+const std::string &gateway_task::nameOf(request_id request) const
+{
+    static const std::string unknown = "unknown";
+    const auto found = m_requests.find(request);
+    return found == m_requests.end() ? unknown : found->second.name;
+}
+
+void gateway_task::run(const gateway_pipe_input &in)
+{
+    for (const gateway_pipe_output &each : m_pipe.step(in, monotonicNow())) {
+        std::visit([this](const auto &out) { act(out); }, each);
+    }
+}
+
+void gateway_task::act(const revision_in_force &out)
+{
+    m_control.act(out);
+    const configuration_record &held = m_pipe.fleet().configuration();
+    if (held.version == m_version) {
+        return;
+    }
+    m_version = held.version;
+    result<service_configuration> read = m_frontEnd.readConfiguration(held.document);
+    if (failed(read)) {
+        logEvent(event_number::ConfigurationUnreadable, {{"version", m_version}, {"reason", describe(errorOf(read))}});
+        return;
+    }
+    logEvent(event_number::ConfigurationInForce, {{"version", m_version}, {"revision", out.at}, {"routes", valueOf(read).routes().size()}});
+    run(configuration_in_force{std::make_shared<const service_configuration>(std::move(valueOf(read)))});
+}
+
+void gateway_task::act(const call_backend &out)
+{
+    const auto found = m_requests.find(out.request);
+    if (found == m_requests.end()) {
+        return;
+    }
+    http_call call = m_frontEnd.encodeCall(found->second.request, out);
+    call.timeout = out.timeLeft + callGrace;
+    call.freshConnection = out.freshConnection;
+    const http_call_id http = m_client->start(call, [this, id = out.call](http_event event) { backendEvent(id, std::move(event)); });
+    m_calls.emplace(out.call, open_call{http, out.request, {}});
+}
+
+void gateway_task::backendEvent(backend_call_id call, http_event event)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    std::visit(overloaded{
+                   [&](http_started &each) {
+                       found->second.head = std::move(each);
+                       const auto request = m_requests.find(found->second.request);
+                       if (request != m_requests.end()) {
+                           run(m_frontEnd.decodeAnswer(found->second.head, request->second.request, call));
+                       }
+                   },
+                   [&](http_received &each) { run(backend_sent{call, std::move(each.bytes)}); },
+                   [&](const http_finished &) {
+                       run(backend_done{call});
+                       m_calls.erase(call);
+                   },
+                   [&](const http_failed &each) {
+                       m_calls.erase(found);
+                       run(backend_broke_off{call, each.neverSent, each.why.what});
+                   },
+               },
+               event);
+}
+
+void gateway_task::act(const drop_call &out)
+{
+    const auto found = m_calls.find(out.call);
+    if (found != m_calls.end()) {
+        m_client->cancel(found->second.http);
+        m_calls.erase(found);
+    }
+}
+
+http_response gateway_task::answerHead(const open_call &call) const
+{
+    return {call.head.status, endToEndHeaders(call.head.headers), {}};
+}
+
+void gateway_task::act(const begin_stream &out)
+{
+    const auto found = m_requests.find(out.request);
+    const auto call = m_calls.find(out.call);
+    if (found != m_requests.end() && call != m_calls.end()) {
+        found->second.streaming = true;
+        found->second.exchange->startStream(answerHead(call->second));
+    }
+}
+
+void gateway_task::act(const answer_at_once &out)
+{
+    const auto found = m_requests.find(out.request);
+    const auto call = m_calls.find(out.call);
+    if (found != m_requests.end() && call != m_calls.end()) {
+        http_response response = answerHead(call->second);
+        response.body = out.body;
+        found->second.exchange->respond(response);
+        m_requests.erase(found);
+    }
+}
+
+void gateway_task::act(const continue_answer &out)
+{
+    const auto found = m_requests.find(out.request);
+    if (found != m_requests.end()) {
+        found->second.exchange->write(out.bytes, nullptr);
+    }
+}
+
+void gateway_task::act(const finish_answer &out)
+{
+    const auto found = m_requests.find(out.request);
+    if (found != m_requests.end()) {
+        found->second.exchange->finish();
+        m_requests.erase(found);
+    }
+}
+
+void gateway_task::act(const cut_answer &out)
+{
+    const auto found = m_requests.find(out.request);
+    if (found != m_requests.end()) {
+        logEvent(event_number::AnswerCut, {{"request", found->second.name}});
+        found->second.exchange->abort();
+        m_requests.erase(found);
+    }
+}
+
+void gateway_task::act(const reject_caller &out)
+{
+    const auto found = m_requests.find(out.request);
+    if (found == m_requests.end()) {
+        return;
+    }
+    const bool didNotRun = out.outcome == run_outcome::DidNotRun;
+    logEvent(didNotRun ? event_number::RequestRejected : event_number::RequestOutcomeUnknown,
+             {{"request", found->second.name},
+              {"status", out.status},
+              {"kind", name(out.why.kind)},
+              {"outcome", didNotRun ? "did-not-run" : "unknown"},
+              {"retry_after_ms", out.retryAfter.count()},
+              {"reason", out.why.what}});
+    m_metrics.count("carawayloft_requests_refused_total", std::string("kind=\"") + name(out.why.kind) + "\"");
+    found->second.exchange->respond(m_frontEnd.encodeRefusal(out, found->second.name));
+    m_requests.erase(found);
+}
+
+void gateway_task::act(const probe_backend &out)
+{
+    testReach(m_context, out.address, reachPatience, [this, out](bool reachable) {
+        logEvent(event_number::BackendProbed, {{"backend", out.backend}, {"reachable", reachable ? 1 : 0}});
+        run(probe_finished{out.probe, reachable});
+    });
+}
+
+void gateway_task::act(const backend_chosen &out)
+{
+    logEvent(event_number::RouteChosen,
+             {{"request", nameOf(out.request)},
+              {"attempt", out.attempt},
+              {"backend", out.backend},
+              {"group", out.group},
+              {"running", out.running},
+              {"load_age_ms", out.loadAge.count()},
+              {"configuration", out.version}});
+}
+
+void gateway_task::act(const call_repeated &out)
+{
+    logEvent(event_number::CallRepeated,
+             {{"request", nameOf(out.request)},
+              {"from", out.from},
+              {"after", out.after ? std::to_string(out.after->value()) : std::string()},
+              {"reason", out.reason}});
+    m_metrics.count("carawayloft_calls_repeated_total");
+}
+
+void gateway_task::act(const group_suspended &out)
+{
+    logEvent(event_number::GroupSuspended, {{"group", out.group}, {"silence_ms", out.silence.count()}, {"moved", out.moved}, {"reason", out.reason}});
+    m_metrics.count("carawayloft_group_suspensions_total");
+}
+
+void gateway_task::act(const request_ended &out)
+{
+    logEvent(event_number::RequestEnded,
+             {{"request", out.name},
+              {"status", out.status},
+              {"calls", out.calls},
+              {"first_byte_ms", out.firstByte.count()},
+              {"total_ms", out.total.count()},
+              {"whole", out.whole ? 1 : 0}});
+    m_metrics.count("carawayloft_requests_total", "status=\"" + std::to_string(out.status) + "\",whole=\"" + (out.whole ? "yes" : "no") + "\"");
+    m_metrics.observe("carawayloft_first_byte_seconds", out.firstByte);
+    m_metrics.observe("carawayloft_request_seconds", out.total);
+}
+
+void gateway_task::act(const service_right_changed &out)
+{
+    logEvent(out.held ? event_number::ServiceRightGained : event_number::ServiceRightLost, {{"revision", out.at}});
+}
+
+std::string gateway_task::renderMetrics()
+{
+    m_metrics.setGauge("carawayloft_requests_in_flight", {}, static_cast<double>(m_pipe.inFlight()));
+    m_metrics.setGauge("carawayloft_revision", {}, static_cast<double>(m_pipe.fleet().at().value()));
+    m_metrics.setGauge("carawayloft_groups_known", {}, static_cast<double>(m_pipe.view().groups().size()));
+    m_metrics.setGauge("carawayloft_backends_known", {}, static_cast<double>(m_pipe.view().backends().size()));
+    return m_metrics.render();
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/tasks/gateway_task.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "daemon/settings.h"
+#include "ends/http_server.h"
+#include "ends/mailbox.h"
+#include "ends/metrics.h"
+#include "tasks/control_session.h"
+#include "tasks/front_end.h"
+
+#include <carawayloft/gateway/gateway_pipe.h>
+
+namespace carawayloft {
+
+/** Serves callers straight from backend servers: owns the connections to both, and hosts one gateway pipe. */
+class gateway_task
+{
+public:
+    /** Fails when an address of the settings cannot be listened on. @p drained is called once after a stop. */
+    static result<std::unique_ptr<gateway_task>>
+    create(asio::io_context &context, const settings &loaded, const front_end &front, std::function<void()> drained);
+
+    /** More control replicas are known; safe from any thread. */
+    void learn(std::vector<control_peer> replicas);
+
+    /** Begins a planned stop; safe from any thread, and a second call changes nothing. */
+    void stop();
+
+private:
+    struct task_stop {
+    };
+    struct replicas_learned {
+        std::vector<control_peer> replicas;
+    };
+    using task_message = std::variant<task_stop, replicas_learned>;
+
+    /** One request of a caller and the answering side of it. */
+    struct open_request {
+        http_request request;
+        std::shared_ptr<http_exchange> exchange;
+        std::string name; /**< The caller's own id of the request. */
+        bool streaming = false;
+    };
+    /** One call to a backend server. */
+    struct open_call {
+        http_call_id http;
+        request_id request;
+        http_started head;
+    };
+
+    gateway_task(asio::io_context &context, const settings &loaded, const front_end &front, std::function<void()> drained);
+
+    status listen();
+    void serve(http_request request, std::shared_ptr<http_exchange> exchange);
+    void take(const task_stop &);
+    void take(const replicas_learned &in);
+    void leave();
+    void end();
+    std::string renderMetrics();
+
+    void run(const gateway_pipe_input &in);
+    template<control_output Output>
+    void act(const Output &out)
+    {
+        m_control.act(out);
+    }
+    void act(const revision_in_force &out);
+    void act(const call_backend &out);
+    void act(const drop_call &out);
+    void act(const begin_stream &out);
+    void act(const answer_at_once &out);
+    void act(const continue_answer &out);
+    void act(const finish_answer &out);
+    void act(const cut_answer &out);
+    void act(const reject_caller &out);
+    void act(const probe_backend &out);
+    void act(const requests_drained &out);
+    void act(const backend_chosen &out);
+    void act(const call_repeated &out);
+    void act(const group_suspended &out);
+    void act(const request_ended &out);
+    void act(const service_right_changed &out);
+
+    void backendEvent(backend_call_id call, http_event event);
+    http_response answerHead(const open_call &call) const;
+    const std::string &nameOf(request_id request) const;
+
+    asio::io_context &m_context;
+    settings m_settings;
+    const front_end &m_frontEnd;
+    std::function<void()> m_drained;
+    timer_service m_timers;
+    metrics m_metrics;
+    gateway_pipe m_pipe;
+    request_id m_lastRequest;
+    std::map<request_id, open_request> m_requests;
+    std::map<backend_call_id, open_call> m_calls;
+    configuration_version m_version;
+    std::unique_ptr<http_client> m_client;
+    std::unique_ptr<http_server> m_callers;
+    std::unique_ptr<http_server> m_readiness;
+    std::unique_ptr<http_server> m_metricsHttp;
+    control_session m_control;
+    mailbox<task_message> m_mailbox;
+    std::function<void(task_message)> m_send;
+    timer_service::subscription m_tick;
+    timer_service::subscription m_leaveTimer;
+    timer_service::subscription m_stopBound;
+    timer_service::subscription m_endTimer;
+    time_point m_refusesFrom; /**< While it stops. */
+    bool m_stopping = false;
+    bool m_ended = false;
+};
+
+} // namespace carawayloft
