Hold both models in every fabric domain, by a plan made before loading

Cause: what a domain loaded followed from the order in which loads were allowed, so that one domain held three groups of the small model and another two of the large one; when a domain went dark, one model was left with a single group for five seconds. Ruled out: too few servers (262 server-seconds were idle meanwhile).

--- a/bench/log_bench.cpp
+++ b/bench/log_bench.cpp
@@ -41,7 +41,7 @@
 {
     recovered_log log;
     log.promise.term = log_term(1);
-    log.entries = {{log_index(1), log_term(1), entry_kind::Membership, {}, {{self, member_role::Voter, {}, {}}}}};
+    log.entries = {{log_index(1), log_term(1), entry_kind::Membership, {}, {{self, member_role::Voter, {}, {}, {}}}}};
     return log;
 }
 
--- a/include/carawayloft/fleet/group_keeper.h
+++ b/include/carawayloft/fleet/group_keeper.h
@@ -117,10 +117,17 @@
         std::map<model_id, std::vector<backend_id>> hot; /**< Their last group had the model. */
         std::map<model_id, std::vector<backend_id>> warm; /**< Their host has the weights. */
         std::map<model_id, std::size_t> preparing;
+        std::map<model_id, std::size_t> grouped; /**< Members of groups. */
         std::vector<backend_id> empty;
 
+        /** Backend servers that hold the model, or will soon. */
         std::size_t held(const model_id &model) const;
+
+        /** All that are there. */
+        std::size_t size() const;
     };
+    /** How many backend servers of a fabric domain should hold each model. */
+    using domain_target = std::map<model_id, std::size_t>;
 
     void take(const keeper_look &in);
     void take(const keeping_began &in);
@@ -147,11 +154,12 @@
     // Formation.
     void planService(const served_service &service);
     domain_pool poolOf(const served_service &service, const fabric_domain_id &domain) const;
+    const managed_group *groupOf(const backend_id &backend) const;
     bool isFree(const backend_registry::entry &entry) const;
     bool formOne(const served_service &service, domain_pool &pool);
     void form(const served_service &service, const model_profile &model, std::vector<backend_id> members, engine_time expected);
-    void prepare(const served_service &service, domain_pool &pool);
-    const model_profile &chooseToPrepare(const served_service &service, const domain_pool &pool) const;
+    void prepare(const served_service &service, domain_pool &pool, const domain_target &target);
+    std::map<fabric_domain_id, domain_target> targets(const served_service &service, const std::map<fabric_domain_id, domain_pool> &pools) const;
     void startStandby(const served_service &service, const model_profile &model, const backend_id &backend, bool loads);
     void lookAtStandby();
     bool mayLoad(const served_service &service) const;
--- a/src/fleet_pipe/group_keeper_formation.cpp
+++ b/src/fleet_pipe/group_keeper_formation.cpp
@@ -26,12 +26,33 @@
 
 std::size_t group_keeper::domain_pool::held(const model_id &model) const
 {
-    const auto countIn = [&](const auto &pool) {
-        const auto found = pool.find(model);
-        return found == pool.end() ? std::size_t{0} : found->second.size();
+    const auto found = [&](const auto &counts) {
+        const auto each = counts.find(model);
+        return each == counts.end() ? std::size_t{0} : each->second;
     };
-    const auto under = preparing.find(model);
-    return countIn(hot) + countIn(warm) + (under == preparing.end() ? 0 : under->second);
+    const auto sizeIn = [&](const auto &pools) {
+        const auto each = pools.find(model);
+        return each == pools.end() ? std::size_t{0} : each->second.size();
+    };
+    return sizeIn(hot) + sizeIn(warm) + found(preparing) + found(grouped);
+}
+
+std::size_t group_keeper::domain_pool::size() const
+{
+    std::size_t sum = empty.size();
+    for (const auto &[model, backends] : hot) {
+        sum += backends.size();
+    }
+    for (const auto &[model, backends] : warm) {
+        sum += backends.size();
+    }
+    for (const auto &[model, count] : preparing) {
+        sum += count;
+    }
+    for (const auto &[model, count] : grouped) {
+        sum += count;
+    }
+    return sum;
 }
 
 void group_keeper::adoptUnknown()
@@ -119,16 +140,22 @@
     return models;
 }
 
+/** The group that a backend server is a member of, or nullptr. */
+const group_keeper::managed_group *group_keeper::groupOf(const backend_id &backend) const
+{
+    const auto found = std::find_if(m_groups.begin(), m_groups.end(), [&](const auto &each) {
+        const std::vector<backend_id> &members = each.second.group.members;
+        return std::find(members.begin(), members.end(), backend) != members.end();
+    });
+    return found == m_groups.end() ? nullptr : &found->second;
+}
+
 bool group_keeper::isFree(const backend_registry::entry &entry) const
 {
     if (entry.record.state != backend_state::Ready || m_view->zonesOut.contains(entry.record.zone)) {
         return false;
     }
-    const bool assigned = std::any_of(m_groups.begin(), m_groups.end(), [&](const auto &each) {
-        const std::vector<backend_id> &members = each.second.group.members;
-        return std::find(members.begin(), members.end(), entry.record.backend) != members.end();
-    });
-    if (assigned || m_standby.contains(entry.record.backend)) {
+    if (m_standby.contains(entry.record.backend) || groupOf(entry.record.backend) != nullptr) {
         return false;
     }
     const group_epoch epoch = entry.record.membership.epoch;
@@ -145,6 +172,8 @@
         }
         if (const auto standby = m_standby.find(id); standby != m_standby.end()) {
             ++pool.preparing[standby->second.model];
+        } else if (const managed_group *group = groupOf(id)) {
+            ++pool.grouped[group->group.model];
         } else if (!isFree(entry)) {
             continue;
         } else if (!record.loaded.value().empty()) {
@@ -160,18 +189,62 @@
 
 void group_keeper::planService(const served_service &service)
 {
-    std::set<fabric_domain_id> domains;
+    std::map<fabric_domain_id, domain_pool> pools;
     for (const auto &[id, entry] : m_view->registry.entries()) {
-        if (entry.record.service == service.service && !entry.record.fabricDomain.value().empty()) {
-            domains.insert(entry.record.fabricDomain);
+        const fabric_domain_id &domain = entry.record.fabricDomain;
+        if (entry.record.service == service.service && !domain.value().empty() && !pools.contains(domain)) {
+            pools.emplace(domain, poolOf(service, domain));
         }
     }
-    for (const fabric_domain_id &domain : domains) {
-        domain_pool pool = poolOf(service, domain);
+    for (auto &[domain, pool] : pools) {
         while (formOne(service, pool)) {
         }
-        prepare(service, pool);
     }
+    const std::map<fabric_domain_id, domain_target> wanted = targets(service, pools);
+    for (auto &[domain, pool] : pools) {
+        prepare(service, pool, wanted.at(domain));
+    }
+}
+
+/**
+ * What every fabric domain should hold: as many whole groups as fit, of the model whose groups would have
+ * the most work, and spares of the models in proportion to the members that can fail.
+ */
+std::map<fabric_domain_id, group_keeper::domain_target>
+group_keeper::targets(const served_service &service, const std::map<fabric_domain_id, domain_pool> &pools) const
+{
+    std::map<fabric_domain_id, domain_target> wanted;
+    std::map<model_id, std::size_t> groups;
+    for (const auto &[domain, pool] : pools) {
+        domain_target &target = wanted[domain];
+        std::size_t left = pool.size();
+        for (bool placed = true; placed;) {
+            const model_profile *best = nullptr;
+            const auto work = [&](const model_profile &model) { return model.share / static_cast<double>(groups[model.model] + 1); };
+            for (const model_profile &model : service.engine->models) {
+                best = model.hostsPerGroup <= left && (best == nullptr || work(model) > work(*best)) ? &model : best;
+            }
+            placed = best != nullptr;
+            if (placed) {
+                ++groups[best->model];
+                target[best->model] += best->hostsPerGroup;
+                left -= best->hostsPerGroup;
+            }
+        }
+        const domain_target grouped = target;
+        for (; left > 0; --left) {
+            const auto spareWorth = [&](const model_profile &model) {
+                const auto members = grouped.find(model.model);
+                const std::size_t count = members == grouped.end() ? 0 : members->second;
+                return static_cast<double>(count) / static_cast<double>(target[model.model] - count + 1);
+            };
+            const auto &models = service.engine->models;
+            const auto best = std::max_element(
+                models.begin(), models.end(), [&](const model_profile &one, const model_profile &other) { return spareWorth(one) < spareWorth(other); });
+            ++target[best->model];
+        }
+    }
+    return wanted;
 }
 
 /** Forms the most needed group that the pool has members for. */
@@ -211,30 +284,7 @@
     lookAtForming(placed);
 }
 
-/** The model that an empty backend server should hold: one that it helps to complete a group of, else as a spare. */
-const model_profile &group_keeper::chooseToPrepare(const served_service &service, const domain_pool &pool) const
-{
-    const std::vector<const model_profile *> models = byNeed(service);
-    const model_profile *begun = nullptr;
-    const model_profile *possible = nullptr;
-    for (const model_profile *model : models) {
-        const std::size_t held = pool.held(model->model) % model->hostsPerGroup;
-        if (model->hostsPerGroup - held > pool.empty.size()) {
-            continue;
-        }
-        begun = begun == nullptr && held > 0 ? model : begun;
-        possible = possible == nullptr ? model : possible;
-    }
-    if (begun != nullptr || possible != nullptr) {
-        return begun != nullptr ? *begun : *possible;
-    }
-    const auto spareWorth = [&](const model_profile *model) {
-        return static_cast<double>(groupsOf(model->model) * model->hostsPerGroup) / static_cast<double>(pool.held(model->model) + 1);
-    };
-    return **std::max_element(models.begin(), models.end(), [&](const model_profile *left, const model_profile *right) { return spareWorth(left) < spareWorth(right); });
-}
-
-void group_keeper::prepare(const served_service &service, domain_pool &pool)
+void group_keeper::prepare(const served_service &service, domain_pool &pool, const domain_target &target)
 {
     for (const auto &[model, backends] : pool.warm) {
         const auto profile = std::find_if(
@@ -248,9 +298,15 @@
         }
     }
     while (!pool.empty.empty() && mayLoad(service)) {
-        const model_profile &model = chooseToPrepare(service, pool);
-        ++pool.preparing[model.model];
-        startStandby(service, model, pool.empty.back(), true);
+        const auto lacking = [&](const model_profile &model) {
+            const auto wanted = target.find(model.model);
+            return static_cast<std::ptrdiff_t>(wanted == target.end() ? 0 : wanted->second) - static_cast<std::ptrdiff_t>(pool.held(model.model));
+        };
+        const auto &models = service.engine->models;
+        const auto best = std::max_element(
+            models.begin(), models.end(), [&](const model_profile &one, const model_profile &other) { return lacking(one) < lacking(other); });
+        ++pool.preparing[best->model];
+        startStandby(service, *best, pool.empty.back(), true);
         pool.empty.pop_back();
     }
 }
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -10,7 +10,7 @@
 namespace carawayloft {
 
 /** Time in which a backend server that runs accepts a connection, also from another zone. */
-static constexpr duration reachPatience{200};
+static constexpr duration reachPatience{100};
 
 static constexpr std::uint32_t serviceUnavailable = 503;
 static constexpr const char *jsonType = "application/json";
--- /dev/null
+++ b/tests/fleet/backend_registry_test.cpp
@@ -0,0 +1,104 @@
+#include <carawayloft/fleet/backend_registry.h>
+
+#include <gtest/gtest.h>
+
+using namespace carawayloft;
+
+static const time_point start(std::chrono::hours(1));
+
+static check_in makeCheckIn(const std::string &id, std::int64_t startedAt, std::uint64_t number, const std::string &address = "127.0.0.1:9000")
+{
+    backend_record record;
+    record.backend = backend_id(id);
+    record.service = service_id("records");
+    record.address = endpoint(address);
+    record.startedAt = startedAt;
+    record.announcement = number;
+    return {record};
+}
+
+static check_in draining(check_in announcement)
+{
+    announcement.record.state = backend_state::Draining;
+    return announcement;
+}
+
+TEST(BackendRegistry, PassesOverALateAnnouncement)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    registry.step(draining(makeCheckIn("a", 1, 3)), start);
+    EXPECT_TRUE(registry.step(makeCheckIn("a", 1, 2), start).empty());
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
+}
+
+TEST(BackendRegistry, ARestartUnderTheSameIdBeginsAnew)
+{
+    backend_registry registry;
+    registry.step(draining(makeCheckIn("a", 1, 9)), start);
+    registry.step(makeCheckIn("a", 2, 1), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
+    EXPECT_TRUE(registry.step(makeCheckIn("a", 1, 10), start).empty());
+    EXPECT_EQ(registry.find(backend_id("a"))->record.startedAt, 2);
+}
+
+TEST(BackendRegistry, AServerThatLeftDoesNotComeBackByALateAnnouncement)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    registry.step(backend_departure{backend_id("a")}, start);
+    registry.step(makeCheckIn("a", 1, 5), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Left);
+}
+
+TEST(BackendRegistry, ALostServerThatAnnouncesItselfIsBack)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    registry.step(backend_failure{backend_id("a"), true}, start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Lost);
+    registry.step(makeCheckIn("a", 1, 2), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
+    EXPECT_FALSE(registry.find(backend_id("a"))->deadConfirmed);
+}
+
+TEST(BackendRegistry, TheLatestStartAtAnAddressHoldsIt)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("old", 1, 1), start);
+    registry.step(makeCheckIn("new", 2, 1), start);
+    EXPECT_EQ(registry.find(backend_id("old"))->record.state, backend_state::Left);
+    EXPECT_TRUE(registry.step(makeCheckIn("old", 1, 2), start).empty());
+    EXPECT_EQ(registry.find(backend_id("old"))->record.state, backend_state::Left);
+    EXPECT_EQ(registry.find(backend_id("new"))->record.state, backend_state::Ready);
+}
+
+TEST(BackendRegistry, ALateAnnouncementOfAnEarlierStartAtTheAddressNamesNobody)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("new", 2, 1), start);
+    EXPECT_TRUE(registry.step(makeCheckIn("old", 1, 7), start).empty());
+    EXPECT_EQ(registry.find(backend_id("old")), nullptr);
+}
+
+TEST(BackendRegistry, KeepsTheModelOfTheLastGroupOfAStart)
+{
+    backend_registry registry;
+    check_in first = makeCheckIn("a", 1, 1);
+    first.record.loaded = model_id("large");
+    registry.step(first, start);
+    registry.step(makeCheckIn("a", 1, 2), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.loaded, model_id("large"));
+    registry.step(makeCheckIn("a", 2, 1), start);
+    EXPECT_TRUE(registry.find(backend_id("a"))->record.loaded.value().empty());
+}
+
+TEST(BackendRegistry, AnInheritedRecordYieldsToTheServersOwnWord)
+{
+    backend_registry registry;
+    registry.step(backend_inherited{draining(makeCheckIn("a", 1, 4)).record}, start);
+    EXPECT_TRUE(registry.step(makeCheckIn("a", 1, 3), start).empty());
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
+    registry.step(makeCheckIn("a", 1, 5), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
+}
--- /dev/null
+++ b/tests/fleet/group_keeper_test.cpp
@@ -0,0 +1,158 @@
+#include "support/engine_fleet.h"
+#include "support/properties.h"
+
+using namespace carawayloft;
+using namespace carawayloft::test_support;
+
+TEST(GroupKeeper, FormsGroupsOfEveryModelInEveryDomainAndKeepsSpares)
+{
+    engine_fleet fleet(3, 9, makeEngine(4, 3));
+    fleet.lead(2);
+    fleet.settle(40);
+    EXPECT_EQ(fleet.open(largeModel).size(), 3U);
+    EXPECT_EQ(fleet.open(smallModel).size(), 3U);
+    for (const auto &[id, engine] : fleet.engines) {
+        EXPECT_FALSE(engine.record.loaded.value().empty()) << id.value() << " holds no model";
+    }
+}
+
+TEST(GroupKeeper, ReplacesALostMemberByASpareOfItsDomainAtOnce)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    const backend_id lost = fleet.open(largeModel).front().members.back();
+    fleet.lose(lost);
+    fleet.settle(3);
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    const std::vector<backend_id> members = fleet.open(largeModel).front().members;
+    EXPECT_EQ(std::count(members.begin(), members.end(), lost), 0);
+}
+
+TEST(GroupKeeper, LeavesMembersAloneWhileAHeadThatIsOnlyCutOffMayServe)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const engine_group group = fleet.open(largeModel).front();
+    fleet.engines.at(group.head()).reportsToControl = false;
+    fleet.registry.step(backend_failure{group.head(), false}, fleet.now);
+    fleet.settle(20);
+    for (std::size_t i = 1; i < group.members.size(); ++i) {
+        EXPECT_EQ(fleet.engines.at(group.members[i]).record.membership.epoch, group.epoch);
+    }
+    fleet.engines.at(group.head()).alive = false; // Its engine breaks the group after its stall time.
+    fleet.settle(30);
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+}
+
+TEST(GroupKeeper, GivesAnOrderAgainUntilItIsAnswered)
+{
+    engine_fleet fleet(1, 3, makeEngine(3, 4));
+    fleet.deaf = {backend_id("e1"), backend_id("e2"), backend_id("e3")};
+    fleet.lead(2);
+    fleet.settle(60);
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+}
+
+TEST(GroupKeeper, AFinishedOrderOfAFormerGroupChangesNothing)
+{
+    engine_fleet fleet(1, 3, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.keeper.step(order_finished{order_id(99), order_outcome::Done}, fleet.now);
+    fleet.settle(40);
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+}
+
+TEST(GroupKeeper, ANewLeaderTakesGroupsOverFromWhatTheirMembersReport)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const group_epoch epoch = fleet.open(largeModel).front().epoch;
+    const std::size_t ordersBefore = fleet.orders;
+    fleet.lead(3);
+    fleet.settle(10);
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_EQ(fleet.open(largeModel).front().epoch, epoch);
+    EXPECT_EQ(fleet.orders, ordersBefore);
+}
+
+TEST(GroupKeeper, ANewLeaderClosesAnOpenGroupOfWhichAMemberIsMissing)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const engine_group group = fleet.open(largeModel).front();
+    fleet.engines.at(group.members.back()).alive = false;
+    fleet.registry = backend_registry();
+    fleet.lead(3);
+    fleet.settle(40);
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_GT(fleet.open(largeModel).front().epoch, group.epoch);
+}
+
+TEST(GroupKeeper, EpochsOfALaterTermAreHigher)
+{
+    engine_fleet fleet(1, 3, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const group_epoch before = fleet.open(largeModel).front().epoch;
+    fleet.lose(backend_id("e1"));
+    fleet.add("d0");
+    fleet.lead(3);
+    fleet.settle(60);
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_GT(fleet.open(largeModel).front().epoch, before);
+}
+
+TEST(GroupKeeper, FormsNothingInAZoneThatIsOut)
+{
+    engine_fleet fleet(2, 3, makeEngine(3, 4));
+    fleet.zonesOut = {availability_zone_id("d0")};
+    fleet.lead(2);
+    fleet.settle(40);
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_EQ(fleet.engines.at(fleet.open(largeModel).front().head()).record.zone, availability_zone_id("d1"));
+}
+
+TEST(GroupKeeper, NeverLetsAMemberGoElsewhereWhileItsHeadServes)
+{
+    EXPECT_TRUE(rc::check([] {
+        engine_fleet fleet(2, 7, makeEngine(3, 2));
+        fleet.lead(2);
+        std::uint64_t term = 2;
+        for (int i = 0; i < 60; ++i) {
+            const auto pick = *rc::gen::inRange<std::size_t>(0, fleet.engines.size());
+            const backend_id id = std::next(fleet.engines.begin(), static_cast<std::ptrdiff_t>(pick))->first;
+            switch (*rc::gen::inRange(0, 12)) {
+            case 0:
+                fleet.lose(id);
+                break;
+            case 1:
+                fleet.engines.at(id).record.state = backend_state::Draining;
+                break;
+            case 2:
+                fleet.add("d0");
+                break;
+            case 3:
+                fleet.lead(++term);
+                break;
+            case 4:
+                fleet.lead(++term, fleet.keeper.groups());
+                break;
+            case 5:
+                fleet.deaf.insert(id);
+                break;
+            case 6:
+                fleet.deaf.erase(id);
+                break;
+            default:
+                break;
+            }
+            fleet.settle(2);
+        }
+        RC_ASSERT(!::testing::Test::HasFailure());
+    }));
+}
--- /dev/null
+++ b/tests/gateway/shared_limits_test.cpp
@@ -0,0 +1,93 @@
+#include <carawayloft/gateway/shared_limits.h>
+
+#include "support/properties.h"
+
+using namespace carawayloft;
+
+static const service_id service("records");
+static const backend_id backend("b-1");
+static const time_point start(std::chrono::hours(1));
+
+static fleet_limits makeLimits()
+{
+    return {0.2, 60.0, duration(10'000), 1.5, 5.0};
+}
+
+TEST(SharedLimits, ANewGatewayHasNoPartOfTheSpareRepeatsForOneWindow)
+{
+    shared_limits limits(makeLimits());
+    limits.setGateways(1, start);
+    EXPECT_FALSE(limits.takeRepeat(service, start));
+    EXPECT_TRUE(limits.takeRepeat(service, start + duration(10'000)));
+}
+
+TEST(SharedLimits, RequestsEarnRepeats)
+{
+    shared_limits limits(makeLimits());
+    limits.setGateways(3, start);
+    for (int i = 0; i < 100; ++i) {
+        limits.countRequest(service, start);
+    }
+    int taken = 0;
+    while (limits.takeRepeat(service, start)) {
+        ++taken;
+    }
+    EXPECT_GT(taken, 10);
+    EXPECT_LE(taken, 20);
+}
+
+TEST(SharedLimits, AllGatewaysTogetherKeepToTheBoundOnRepeats)
+{
+    EXPECT_TRUE(rc::check([] {
+        const auto count = *rc::gen::inRange<std::uint32_t>(1, 6);
+        std::vector<shared_limits> gateways(count, shared_limits(makeLimits()));
+        std::deque<time_point> repeats;
+        std::deque<time_point> requests;
+        for (shared_limits &each : gateways) {
+            each.setGateways(count, start);
+        }
+        time_point now = start;
+        for (int i = 0; i < 400; ++i) {
+            now += duration(*rc::gen::inRange(0, 200));
+            shared_limits &one = gateways[*rc::gen::inRange<std::size_t>(0, count)];
+            if (*rc::gen::arbitrary<bool>()) {
+                one.countRequest(service, now);
+                requests.push_back(now);
+            } else if (one.takeRepeat(service, now)) {
+                repeats.push_back(now);
+            }
+            const auto within = [&](const std::deque<time_point> &events) {
+                return std::count_if(events.begin(), events.end(), [&](const time_point &each) { return now < each + duration(10'000); });
+            };
+            RC_ASSERT(static_cast<double>(within(repeats)) <= 0.2 * static_cast<double>(within(requests)) + 60.0);
+        }
+    }));
+}
+
+TEST(SharedLimits, AllGatewaysTogetherKeepToWhatAColdServerBears)
+{
+    for (const std::uint32_t count : {1U, 3U, 4U}) {
+        int taken = 0;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            shared_limits limits(makeLimits());
+            limits.setGateways(count, start);
+            while (limits.takeColdSend(backend, 36.0, true, start)) {
+                ++taken;
+            }
+        }
+        EXPECT_LE(taken, 36);
+        EXPECT_GE(taken, 30);
+    }
+}
+
+TEST(SharedLimits, AWarmServerMayTurnColdSoItsBoundHoldsToo)
+{
+    shared_limits limits(makeLimits());
+    limits.setGateways(1, start);
+    int taken = 0;
+    while (limits.takeColdSend(backend, 36.0, false, start)) {
+        ++taken;
+    }
+    EXPECT_GT(taken, 36);
+    EXPECT_LE(taken, 59);
+}
--- /dev/null
+++ b/tests/platform/front_end_test.cpp
@@ -0,0 +1,225 @@
+#include "platform/platform_front_end.h"
+
+#include "platform/wire_names.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace carawayloft;
+
+static const front_end &front()
+{
+    return platform::platformFrontEnd();
+}
+
+static nlohmann::json makeConfiguration()
+{
+    return nlohmann::json::parse(R"({"version":7,
+        "routes":[{"name":"r1","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"streaming","timeoutMs":8000,"sloMs":300,"priority":1,
+                   "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2,"resumable":true,"gapAimMs":300},
+                  {"name":"r2","host":"ficu95.example","pathPrefix":"/x/","kind":"non_idempotent","timeoutMs":1500,"sloMs":300,"service":"s2","attempts":1}],
+        "services":[{"name":"s1","maxConns":552,"coldPerS":36.0,"engine":{"slots":48,"stride":6,"step_ms":5.95,"read_per_s":50700.0,"loadsPerS":3.0,
+                     "loads_at_once":6,"models":[{"name":"m","size":4,"share":0.57,"pace":1.0,"loadS":16.0,"warmS":1.6}]}},{"name":"s2","maxConns":96}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+        "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})");
+}
+
+TEST(FrontEnd, ReadsAConfiguration)
+{
+    const auto read = front().readConfiguration(makeConfiguration().dump());
+    ASSERT_FALSE(failed(read));
+    const service_configuration &configuration = valueOf(read);
+    EXPECT_EQ(configuration.version(), configuration_version(7));
+    EXPECT_EQ(configuration.routes()[0].targets.size(), 2U);
+    EXPECT_EQ(configuration.routes()[0].longestPause, duration(300));
+    EXPECT_EQ(configuration.routes()[1].kind, repeatability::NonIdempotent);
+    EXPECT_EQ(configuration.services()[0].engine->models[0].hostsPerGroup, 4U);
+    EXPECT_EQ(configuration.services()[0].engine->models[0].loadTime, engine_time(16'000));
+    EXPECT_EQ(configuration.accounts()[0].keys.size(), 2U);
+}
+
+TEST(FrontEnd, RefusesAConfigurationThatIsCutShortOrLacksAField)
+{
+    const std::string whole = makeConfiguration().dump();
+    EXPECT_TRUE(failed(front().readConfiguration(whole.substr(0, whole.size() / 2))));
+    EXPECT_TRUE(failed(front().readConfiguration(whole.substr(0, whole.size() - 1))));
+    EXPECT_TRUE(failed(front().readConfiguration("[]")));
+    for (const char *name : {"name", "host", "pathPrefix", "kind"}) {
+        nlohmann::json broken = makeConfiguration();
+        broken["routes"][0].erase(name);
+        EXPECT_TRUE(failed(front().readConfiguration(broken.dump()))) << name;
+    }
+    nlohmann::json broken = makeConfiguration();
+    broken.erase("version");
+    EXPECT_TRUE(failed(front().readConfiguration(broken.dump())));
+    broken = makeConfiguration();
+    broken["routes"][0]["kind"] = "sometimes";
+    EXPECT_TRUE(failed(front().readConfiguration(broken.dump())));
+}
+
+static http_request makeRequest(const std::string &method, const std::string &path, const std::string &body = {})
+{
+    http_request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    return request;
+}
+
+template<class Call>
+static bool decodesTo(const http_request &request)
+{
+    const auto decoded = front().decodeControlCall(request);
+    return !failed(decoded) && valueOf(decoded) && std::holds_alternative<Call>(*valueOf(decoded));
+}
+
+TEST(FrontEnd, TellsTheCallsOfControlApart)
+{
+    EXPECT_TRUE(decodesTo<configuration_change>(makeRequest("PUT", "/-/config", makeConfiguration().dump())));
+    EXPECT_TRUE(decodesTo<configuration_question>(makeRequest("GET", "/-/config")));
+    EXPECT_TRUE(decodesTo<zone_change>(makeRequest("POST", "/-/evacuations/mid-a")));
+    EXPECT_TRUE(decodesTo<zone_change>(makeRequest("DELETE", "/-/evacuations/mid-a")));
+    EXPECT_TRUE(decodesTo<backend_departure>(makeRequest("DELETE", "/-/instances/i-1")));
+    const auto other = front().decodeControlCall(makeRequest("GET", "/v1/status"));
+    EXPECT_FALSE(failed(other));
+    EXPECT_FALSE(valueOf(other));
+}
+
+static nlohmann::json makeAnnouncement()
+{
+    return nlohmann::json::parse(R"({"service":"s1","address":"10.128.0.9:8080","zone":"mid-a","version":"v1","slots":48,"state":"ready","coldLeftMs":1200,
+        "stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,"born":1700000000000,"domain":"d1","staged":["m"],
+        "group":{"name":"g12","epoch":12,"rank":1,"state":"ready"}})");
+}
+
+TEST(FrontEnd, ReadsAnAnnouncement)
+{
+    const auto decoded = front().decodeControlCall(makeRequest("PUT", "/-/instances/i-7", makeAnnouncement().dump()));
+    ASSERT_FALSE(failed(decoded));
+    const backend_record &record = std::get<check_in>(*valueOf(decoded)).record;
+    EXPECT_EQ(record.backend, backend_id("i-7"));
+    EXPECT_EQ(record.coldLeft, duration(1'200));
+    EXPECT_EQ(record.startedAt, 1'700'000'000'000);
+    EXPECT_EQ(record.announcement, 4U);
+    EXPECT_EQ(record.fabricDomain, fabric_domain_id("d1"));
+    EXPECT_EQ(record.loaded, model_id("m"));
+    EXPECT_EQ(record.membership, (membership_report{group_epoch(12), 1, membership_state::Ready}));
+}
+
+TEST(FrontEnd, AnAnnouncementOfAnotherWriterNamesNobody)
+{
+    const auto refuses = [](const nlohmann::json &body) {
+        return failed(front().decodeControlCall(makeRequest("PUT", "/-/instances/i-7", body.dump())));
+    };
+    for (const char *name : {"service", "address", "zone", "state", "sequence"}) {
+        nlohmann::json broken = makeAnnouncement();
+        broken.erase(name);
+        EXPECT_TRUE(refuses(broken)) << name;
+        broken[name] = nlohmann::json::array();
+        EXPECT_TRUE(refuses(broken)) << name;
+    }
+    nlohmann::json broken = makeAnnouncement();
+    broken["state"] = "resting";
+    EXPECT_TRUE(refuses(broken));
+    broken = makeAnnouncement();
+    broken["group"]["state"] = "resting";
+    EXPECT_TRUE(refuses(broken));
+    EXPECT_TRUE(failed(front().decodeControlCall(makeRequest("PUT", "/-/instances/i-7", "\x01\x02"))));
+}
+
+static http_request makeCallerRequest()
+{
+    http_request request = makeRequest("POST", "/lohu930/2f", "prompt");
+    request.headers = {{"Host", "ficu95.example:80"},
+                       {platform::wire::requestId, "9c41"},
+                       {platform::wire::deadlineMs, "8000"},
+                       {platform::wire::model, "m"},
+                       {platform::wire::tokenCount, "1460,80"},
+                       {platform::wire::authorization, "Token k1"},
+                       {platform::wire::tenant, "forged"},
+                       {"Connection", "keep-alive, X-Once"},
+                       {"X-Once", "1"},
+                       {"X-Other", "kept"}};
+    return request;
+}
+
+TEST(FrontEnd, ReadsWhatACallerSays)
+{
+    const auto decoded = front().decodeCall(makeCallerRequest());
+    ASSERT_FALSE(failed(decoded));
+    const caller_call &call = valueOf(decoded);
+    EXPECT_EQ(call.host, "ficu95.example");
+    EXPECT_EQ(call.key, access_key("k1"));
+    EXPECT_EQ(call.timeLimit, duration(8'000));
+    EXPECT_EQ(call.promptTokens, 1'460U);
+    EXPECT_EQ(call.answerTokens, 80U);
+}
+
+TEST(FrontEnd, ARequestWithoutNameOrWithABrokenNumberIsRefused)
+{
+    http_request request = makeCallerRequest();
+    request.headers.erase(platform::wire::requestId);
+    EXPECT_TRUE(failed(front().decodeCall(request)));
+    request = makeCallerRequest();
+    request.headers[platform::wire::deadlineMs] = "soon";
+    EXPECT_TRUE(failed(front().decodeCall(request)));
+}
+
+TEST(FrontEnd, TheServerSeesTheAccountAndNeverTheKey)
+{
+    call_backend call;
+    call.backend = backend_id("i-7");
+    call.address = endpoint("10.0.0.1:80");
+    call.account = client_account_id("t1");
+    call.timeLeft = duration(7'000);
+    call.resumeAfter = stream_event_id(3);
+    const http_call out = front().encodeCall(makeCallerRequest(), call);
+    EXPECT_EQ(out.url, "http://10.0.0.1:80/lohu930/2f");
+    EXPECT_EQ(out.body, "prompt");
+    EXPECT_FALSE(out.headers.contains(platform::wire::authorization));
+    EXPECT_EQ(out.headers.at(platform::wire::tenant), "t1");
+    EXPECT_EQ(out.headers.at(platform::wire::deadlineMs), "7000");
+    EXPECT_EQ(out.headers.at(platform::wire::expectInstance), "i-7");
+    EXPECT_EQ(out.headers.at(platform::wire::lastEventId), "3");
+    EXPECT_EQ(out.headers.at("X-Other"), "kept");
+    EXPECT_FALSE(out.headers.contains("X-Once"));
+    EXPECT_FALSE(out.headers.contains("Connection"));
+}
+
+TEST(FrontEnd, WithoutAnAccountNoForgedOneIsPassedOn)
+{
+    EXPECT_FALSE(front().encodeCall(makeCallerRequest(), call_backend{}).headers.contains(platform::wire::tenant));
+}
+
+TEST(FrontEnd, TellsAnswersApart)
+{
+    const http_request request = makeCallerRequest();
+    const http_headers own{{platform::wire::requestId, "9c41"}};
+    EXPECT_FALSE(front().decodeAnswer({200, "text/event-stream", own}, request, {}).foreign);
+    EXPECT_TRUE(front().decodeAnswer({200, "text/event-stream", own}, request, {}).isStream);
+    EXPECT_TRUE(front().decodeAnswer({200, "", {{platform::wire::requestId, "other"}}}, request, {}).foreign);
+    EXPECT_TRUE(front().decodeAnswer({200, "", {}}, request, {}).foreign);
+    EXPECT_TRUE(front().decodeAnswer({503, "", {{platform::wire::notExecuted, "1"}}}, request, {}).notExecuted);
+    EXPECT_TRUE(front().decodeAnswer({421, "", {}}, request, {}).otherBackend);
+}
+
+TEST(FrontEnd, ARefusalSaysWhenToComeBack)
+{
+    const http_response out = front().encodeRefusal({request_id(1), 503, {}, run_outcome::DidNotRun, duration(900)}, "9c41");
+    EXPECT_EQ(out.status, 503U);
+    EXPECT_EQ(out.headers.at("Retry-After"), "0.900");
+}
+
+TEST(FrontEnd, WritesOrdersWithTheirFence)
+{
+    const http_call out = front().encodeOrder(
+        {order_id(1), backend_id("i-7"), endpoint("10.0.0.1:80"), log_term(5), join_group{group_epoch(12), model_id("m"), {backend_id("i-7"), backend_id("i-8")}}});
+    const nlohmann::json body = nlohmann::json::parse(out.body);
+    EXPECT_EQ(body["op"], "join");
+    EXPECT_EQ(body["fence"], 5);
+    EXPECT_EQ(body["epoch"], 12);
+    EXPECT_EQ(body["members"].size(), 2U);
+    EXPECT_EQ(front().decodeOrderAnswer(412), order_outcome::Fenced);
+    EXPECT_EQ(front().decodeOrderAnswer(409), order_outcome::Conflict);
+    EXPECT_EQ(front().decodeOrderAnswer(500), order_outcome::Unanswered);
+}
--- /dev/null
+++ b/tests/support/engine_fleet.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <carawayloft/fleet/group_keeper.h>
+
+#include "support/service_builder.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace carawayloft::test_support {
+
+/** An engine that carries out orders as the platform's pages describe them, at once. */
+struct fake_engine_state {
+    backend_record record;
+    std::vector<backend_id> members; /**< Of its group. */
+    group_epoch highestEpoch;
+    bool alive = true;
+    bool reportsToControl = true;
+};
+
+/** A group keeper with its registry before a fleet of engines. Checks what must always hold at each order. */
+class engine_fleet
+{
+public:
+    engine_fleet(std::size_t domains, std::size_t enginesPerDomain, engine_profile engine = makeEngine())
+        : m_services{{engineService, 500, 0.0, std::move(engine)}}
+    {
+        for (std::size_t domain = 0; domain < domains; ++domain) {
+            for (std::size_t i = 0; i < enginesPerDomain; ++i) {
+                add("d" + std::to_string(domain));
+            }
+        }
+    }
+
+    backend_id add(const std::string &domain)
+    {
+        const backend_id id("e" + std::to_string(++m_added));
+        fake_engine_state engine;
+        engine.record.backend = id;
+        engine.record.service = engineService;
+        engine.record.address = endpoint("127.0.0.1:" + std::to_string(10'000 + m_added));
+        engine.record.zone = availability_zone_id(domain);
+        engine.record.fabricDomain = fabric_domain_id(domain);
+        engine.record.startedAt = static_cast<std::int64_t>(m_added);
+        engines[id] = engine;
+        return id;
+    }
+
+    void lead(std::uint64_t term, std::vector<engine_group> inherited = {})
+    {
+        run(keeping_began{log_term(term), std::move(inherited)});
+    }
+
+    /** Every engine that can reports, then the keeper looks, and its orders are carried out; @p times times. */
+    void settle(int times = 20, duration step = duration(200))
+    {
+        for (int i = 0; i < times; ++i) {
+            now += step;
+            report();
+            look();
+        }
+    }
+
+    void report()
+    {
+        for (auto &[id, engine] : engines) {
+            if (engine.alive && engine.reportsToControl) {
+                ++engine.record.announcement;
+                registry.step(check_in{engine.record}, now);
+            }
+        }
+    }
+
+    void look()
+    {
+        run(keeper_look{{registry, m_services, zonesOut}});
+    }
+
+    void lose(const backend_id &id, bool confirmed = true)
+    {
+        engines.at(id).alive = false;
+        registry.step(backend_failure{id, confirmed}, now);
+    }
+
+    std::vector<engine_group> open(const model_id &model) const
+    {
+        std::vector<engine_group> groups;
+        for (const engine_group &each : keeper.groups()) {
+            if (each.phase == group_phase::Open && each.model == model) {
+                groups.push_back(each);
+            }
+        }
+        return groups;
+    }
+
+    std::map<backend_id, fake_engine_state> engines;
+    backend_registry registry;
+    group_keeper keeper;
+    std::set<availability_zone_id> zonesOut;
+    time_point now{std::chrono::hours(1)};
+    std::set<backend_id> deaf; /**< Carry orders out without an answer. */
+    std::size_t orders = 0;
+
+private:
+    void run(const group_keeper_input &in)
+    {
+        for (const group_keeper_output &each : keeper.step(in, now)) {
+            if (const auto *order = std::get_if<order_wanted>(&each)) {
+                ++orders;
+                carryOut(*order);
+            }
+        }
+    }
+
+    void carryOut(const order_wanted &order)
+    {
+        fake_engine_state &engine = engines.at(order.backend);
+        if (!engine.alive) {
+            return;
+        }
+        const order_outcome outcome = std::visit([&](const auto &what) { return obey(engine, what); }, order.what);
+        if (!deaf.contains(order.backend)) {
+            keeper.step(order_finished{order.order, outcome}, now);
+        }
+    }
+
+    order_outcome obey(fake_engine_state &engine, const join_group &order)
+    {
+        if (order.epoch < engine.highestEpoch) {
+            return order_outcome::Fenced;
+        }
+        if (engine.record.membership.epoch == order.epoch) {
+            return order_outcome::Done;
+        }
+        checkMayJoin(engine);
+        engine.highestEpoch = order.epoch;
+        engine.members = order.members;
+        const auto place = std::find(order.members.begin(), order.members.end(), engine.record.backend);
+        engine.record.membership = {order.epoch, static_cast<std::uint32_t>(place - order.members.begin()), membership_state::Ready};
+        engine.record.loaded = order.model;
+        engine.record.staged = {order.model};
+        return order_outcome::Begun;
+    }
+
+    /** Nobody joins elsewhere while the head of its old group serves. */
+    void checkMayJoin(const fake_engine_state &engine)
+    {
+        if (engine.members.empty()) {
+            return;
+        }
+        const fake_engine_state &head = engines.at(engine.members.front());
+        const bool serves = head.alive && head.record.membership.epoch == engine.record.membership.epoch
+            && (head.record.membership.state == membership_state::Open || head.record.membership.state == membership_state::Closing);
+        EXPECT_FALSE(serves) << engine.record.backend.value() << " joins elsewhere while its head serves";
+    }
+
+    order_outcome obey(fake_engine_state &engine, const open_group &order)
+    {
+        membership_report &own = engine.record.membership;
+        if (own.epoch != order.epoch || own.rank != 0) {
+            return order_outcome::Conflict;
+        }
+        for (const backend_id &member : engine.members) {
+            EXPECT_EQ(engines.at(member).record.membership.epoch, order.epoch) << "opened before all members were ready";
+        }
+        own.state = membership_state::Open;
+        return order_outcome::Begun;
+    }
+
+    order_outcome obey(fake_engine_state &engine, const close_group &order)
+    {
+        membership_report &own = engine.record.membership;
+        if (own.epoch != order.epoch) {
+            return order_outcome::Conflict;
+        }
+        own.state = membership_state::Ready;
+        return order_outcome::Done;
+    }
+
+    order_outcome obey(fake_engine_state &engine, const leave_group &order)
+    {
+        if (engine.record.membership.epoch == order.epoch) {
+            engine.record.membership = {};
+        }
+        return order_outcome::Done;
+    }
+
+    std::vector<served_service> m_services;
+    std::size_t m_added = 0;
+};
+
+} // namespace carawayloft::test_support
--- /dev/null
+++ b/tests/support/service_builder.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <carawayloft/service/service_configuration.h>
+
+namespace carawayloft::test_support {
+
+inline const service_id engineService("drafting-models");
+inline const service_id plainService("checklist-records");
+inline const model_id largeModel("large");
+inline const model_id smallModel("small");
+inline const access_key knownKey("key-1");
+
+inline engine_profile makeEngine(std::uint32_t largeSize = 2, std::uint32_t smallSize = 1)
+{
+    engine_profile engine;
+    engine.slots = 8;
+    engine.stepsPerPass = 6;
+    engine.step = engine_time(6.0);
+    engine.readTokensPerSecond = 50'000.0;
+    engine.loadsPerSecond = 3.0;
+    engine.loadsAtOnce = 6;
+    engine.models = {{largeModel, largeSize, 0.57, 1.0, engine_time(16'000), engine_time(1'600)},
+                     {smallModel, smallSize, 0.43, 0.6, engine_time(12'000), engine_time(1'100)}};
+    return engine;
+}
+
+inline service_route makeRoute(const std::string &name, const std::string &prefix, repeatability kind, const service_id &service)
+{
+    service_route route;
+    route.name = name;
+    route.host = "ledger.example";
+    route.pathPrefix = prefix;
+    route.kind = kind;
+    route.timeLimit = duration(5'000);
+    route.objective = duration(300);
+    route.longestPause = duration(200);
+    route.attempts = kind == repeatability::NonIdempotent ? 1 : 2;
+    route.resumable = kind == repeatability::Stream;
+    route.targets = {{service, 1}};
+    return route;
+}
+
+/** Streams at /draft/, sign-offs at /sign/, records at /records/. */
+inline configuration_fields makeFields(std::uint64_t version = 1)
+{
+    configuration_fields fields;
+    fields.version = configuration_version(version);
+    fields.routes = {makeRoute("draft", "/draft/", repeatability::Stream, engineService),
+                     makeRoute("sign", "/sign/", repeatability::NonIdempotent, plainService),
+                     makeRoute("records", "/records/", repeatability::Idempotent, plainService)};
+    fields.services = {{engineService, 500, 0.0, makeEngine()}, {plainService, 100, 0.0, std::nullopt}};
+    fields.accounts = {{client_account_id("firm"), {knownKey}, std::nullopt}};
+    fields.hasAccounts = true;
+    return fields;
+}
+
+} // namespace carawayloft::test_support
