--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -74,6 +74,7 @@
     bool m_leads = false;
     log_term m_term;
     time_point m_leadsSince;
+    bool m_traffic = false; /**< Whether callers may have sent requests yet. */
     backend_view m_mirror; /**< What the leader said, while this replica does not lead. */
     backend_registry m_registry;
     group_keeper m_keeper;
--- a/include/carawayloft/fleet/group_keeper.h
+++ b/include/carawayloft/fleet/group_keeper.h
@@ -15,6 +15,7 @@
     const backend_registry &registry;
     const std::vector<served_service> &services;
     const std::set<availability_zone_id> &zonesOut;
+    bool traffic = true; /**< Whether callers may have sent requests yet; before, the weight store is not counted. */
 };
 
 // Inputs.
@@ -123,6 +124,9 @@
         /** Backend servers that hold the model, or will soon. */
         std::size_t held(const model_id &model) const;
 
+        /** Those of them that belong to no group. */
+        std::size_t free(const model_id &model) const;
+
         /** All that are there. */
         std::size_t size() const;
     };
@@ -159,6 +163,7 @@
     bool formOne(const served_service &service, domain_pool &pool);
     void form(const served_service &service, const model_profile &model, std::vector<backend_id> members, engine_time expected);
     void prepare(const served_service &service, domain_pool &pool, const domain_target &target);
+    void convertStranded(const served_service &service, const fabric_domain_id &domain, domain_pool &pool);
     std::map<fabric_domain_id, domain_target> targets(const served_service &service, const std::map<fabric_domain_id, domain_pool> &pools) const;
     void startStandby(const served_service &service, const model_profile &model, const backend_id &backend, bool loads);
     void lookAtStandby();
@@ -184,6 +189,7 @@
     std::map<order_id, order_place> m_orders;
     std::set<group_epoch> m_retired;
     std::map<group_epoch, time_point> m_unknownSince;
+    std::map<fabric_domain_id, time_point> m_strandedSince; /**< Domains with free members of which no group can be formed. */
     std::deque<time_point> m_loads; /**< Starts of loads within the last window. */
 };
 
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -61,6 +61,7 @@
     for (const backend_record &each : inherited.backends) {
         m_registry.step(backend_inherited{each}, m_now);
     }
+    m_traffic = m_traffic || !inherited.groups.empty();
     runKeeper(keeping_began{m_term, inherited.groups});
     m_out.emplace_back(mirror_fleet{whole(m_now)});
     look();
@@ -129,6 +130,7 @@
     const auto [found, isNew] = m_gateways.try_emplace(in.gateway);
     found->second.heardAt = m_now;
     found->second.loads = in.report.loads;
+    m_traffic = m_traffic || std::any_of(in.report.loads.begin(), in.report.loads.end(), [](const group_load &each) { return each.running > 0; });
     if (isNew) {
         m_out.emplace_back(publish_to_gateway{in.gateway, whole(m_now)});
     }
@@ -287,7 +289,7 @@
 {
     if (m_leads) {
         m_lookDue = m_now + lookPeriod;
-        runKeeper(keeper_look{{m_registry, m_services, m_zonesOut}});
+        runKeeper(keeper_look{{m_registry, m_services, m_zonesOut, m_traffic}});
     }
 }
 
--- a/src/fleet_pipe/group_keeper.cpp
+++ b/src/fleet_pipe/group_keeper.cpp
@@ -46,6 +46,7 @@
     m_retired.clear();
     m_unknownSince.clear();
     m_loads.clear();
+    m_strandedSince.clear();
     for (const engine_group &each : in.inherited) {
         managed_group group;
         group.group = each;
--- a/src/fleet_pipe/group_keeper_formation.cpp
+++ b/src/fleet_pipe/group_keeper_formation.cpp
@@ -18,23 +18,29 @@
 static constexpr duration loadWindow{5'000};
 static constexpr double usedLoadShare = 0.9;
 
+/** Time after which free backend servers that no group can be formed of load another model. */
+static constexpr duration strandedTime{1'500};
+
 /** Time that a group of unknown origin has to show all its members. */
 static constexpr duration adoptionTime{2'000};
 
 /** Time after which members whose head never showed up are free. */
 static constexpr duration headlessTime{8'000};
 
-std::size_t group_keeper::domain_pool::held(const model_id &model) const
+std::size_t group_keeper::domain_pool::free(const model_id &model) const
 {
-    const auto found = [&](const auto &counts) {
-        const auto each = counts.find(model);
-        return each == counts.end() ? std::size_t{0} : each->second;
-    };
     const auto sizeIn = [&](const auto &pools) {
         const auto each = pools.find(model);
         return each == pools.end() ? std::size_t{0} : each->second.size();
     };
-    return sizeIn(hot) + sizeIn(warm) + found(preparing) + found(grouped);
+    const auto under = preparing.find(model);
+    return sizeIn(hot) + sizeIn(warm) + (under == preparing.end() ? 0 : under->second);
+}
+
+std::size_t group_keeper::domain_pool::held(const model_id &model) const
+{
+    const auto members = grouped.find(model);
+    return free(model) + (members == grouped.end() ? 0 : members->second);
 }
 
 std::size_t group_keeper::domain_pool::size() const
@@ -203,6 +209,7 @@
     const std::map<fabric_domain_id, domain_target> wanted = targets(service, pools);
     for (auto &[domain, pool] : pools) {
         prepare(service, pool, wanted.at(domain));
+        convertStranded(service, domain, pool);
     }
 }
 
@@ -311,12 +318,49 @@
     }
 }
 
+/**
+ * Free backend servers that wait in vain for others with their model load another one, if that completes a
+ * group.
+ */
+void group_keeper::convertStranded(const served_service &service, const fabric_domain_id &domain, domain_pool &pool)
+{
+    const model_profile *best = nullptr;
+    std::size_t bestMissing = 0;
+    for (const model_profile *model : byNeed(service)) {
+        const std::size_t held = pool.free(model->model);
+        std::size_t donors = 0;
+        for (const auto &[other, backends] : pool.hot) {
+            donors += other == model->model ? 0 : backends.size();
+        }
+        const std::size_t missing = model->hostsPerGroup - std::min<std::size_t>(held, model->hostsPerGroup);
+        if (held > 0 && missing > 0 && missing <= donors && (best == nullptr || missing < bestMissing)) {
+            best = model;
+            bestMissing = missing;
+        }
+    }
+    if (best == nullptr) {
+        m_strandedSince.erase(domain);
+        return;
+    }
+    const time_point since = m_strandedSince.try_emplace(domain, m_now).first->second;
+    if (m_now < since + strandedTime) {
+        return;
+    }
+    for (auto &[other, backends] : pool.hot) {
+        while (other != best->model && bestMissing > 0 && !backends.empty() && mayLoad(service)) {
+            startStandby(service, *best, backends.back(), true);
+            backends.pop_back();
+            --bestMissing;
+        }
+    }
+}
+
 bool group_keeper::mayLoad(const served_service &service) const
 {
     const auto recent = std::count_if(m_loads.begin(), m_loads.end(), [this](const time_point &each) { return m_now < each + loadWindow; });
     const double allowed = service.engine->loadsPerSecond * std::chrono::duration<double>(loadWindow).count() * usedLoadShare;
     const auto loading = std::count_if(m_standby.begin(), m_standby.end(), [](const auto &each) { return each.second.loads; });
-    return static_cast<double>(recent) < allowed && loading < static_cast<std::ptrdiff_t>(service.engine->loadsAtOnce);
+    return (!m_view->traffic || static_cast<double>(recent) < allowed) && loading < static_cast<std::ptrdiff_t>(service.engine->loadsAtOnce);
 }
 
 void group_keeper::startStandby(const served_service &, const model_profile &model, const backend_id &backend, bool loads)
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -165,8 +165,16 @@
 
 void gateway_pipe::dispatchWaiting()
 {
-    const std::set<request_id> waiting = std::exchange(m_waiting, {});
-    for (const request_id &request : waiting) {
+    // Streams that were broken off first, then what can still be on time, then the rest.
+    std::vector<std::pair<int, request_id>> waiting;
+    for (const request_id &request : m_waiting) {
+        const flow &each = m_flows.at(request);
+        const bool onTime = m_now < each.arrivedAt + each.route->objective;
+        waiting.emplace_back(each.relayed ? 0 : (onTime ? 1 : 2), request);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    m_waiting.clear();
+    for (const auto &[rank, request] : waiting) {
         if (const auto found = m_flows.find(request); found != m_flows.end() && found->second.call.value() == 0) {
             dispatch(found->second);
         }
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -24,6 +24,9 @@
 /** Part of a group's places that may be taken; the last ones slow down everyone else. */
 static constexpr double usedSlotShare = 0.92;
 
+/** The same for requests that cannot be on time any more; the rest is kept for those that can. */
+static constexpr double lateSlotShare = 0.7;
+
 /** Statuses by which a server says that it cannot do it now, or failed. */
 static constexpr std::uint32_t firstServerError = 500;
 static constexpr std::uint32_t ok = 200;
@@ -61,6 +64,8 @@
 /** The open group with the shortest time to the first event among those that bear one more request. */
 std::optional<gateway_pipe::candidate> gateway_pipe::chooseGroup(const flow &each)
 {
+    const bool late = !each.relayed && m_now >= each.arrivedAt + each.route->objective;
+    const double slotShare = late ? lateSlotShare : usedSlotShare;
     std::vector<candidate> candidates;
     for (const auto &[epoch, group] : m_view.groups()) {
         group_watch *watch = watchOf(epoch);
@@ -70,7 +75,7 @@
         }
         const backend_view::backend *head = m_view.find(group.head());
         const engine_work work = watch->work();
-        if (head == nullptr || !mayBeUsed(*head) || each.tried.contains(group.head()) || work.running >= watch->slots() * usedSlotShare) {
+        if (head == nullptr || !mayBeUsed(*head) || each.tried.contains(group.head()) || work.running >= watch->slots() * slotShare) {
             continue;
         }
         const double zone = head->record.zone == m_options.zone ? 0.0 : otherZoneMs;
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -25,8 +25,7 @@
 /** Time for the last bytes to leave this process. */
 static constexpr duration endDelay{150};
 
-/** Before the end of a stop, new requests are refused, so that those in flight can end. */
-static constexpr duration lastRequestTime{1'500};
+/** What callers are told to wait that still come when the process only finishes what it has. */
 static constexpr duration stopRetryAfter{100};
 
 result<std::unique_ptr<gateway_task>>
@@ -114,7 +113,7 @@
         return;
     }
     m_stopping = true;
-    m_refusesFrom = monotonicNow() + m_settings.gateway->stopBound - lastRequestTime;
+    m_refusesFrom = monotonicNow() + m_settings.gateway->leaveTime;
     logEvent(event_number::ProcessStopping, {{"role", "gateway"}, {"in_flight", m_pipe.inFlight()}});
     m_leaveTimer = m_timers.after(m_settings.gateway->leaveTime, [this](time_point) { leave(); });
     m_stopBound = m_timers.after(m_settings.gateway->stopBound, [this](time_point) {
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -74,7 +74,7 @@
 
     void look()
     {
-        run(keeper_look{{registry, m_services, zonesOut}});
+        run(keeper_look{{registry, m_services, zonesOut, true}});
     }
 
     void lose(const backend_id &id, bool confirmed = true)
