--- a/src/fleet_pipe/group_keeper_formation.cpp
+++ b/src/fleet_pipe/group_keeper_formation.cpp
@@ -33,10 +33,10 @@
 /** Time after which members whose head never showed up are free. */
 static constexpr duration headlessTime{8'000};
 
-/** Time that a group of the model would need for the work of all of them. */
+/** The work of the model, for weighing models against each other. */
 static double workOf(const model_profile &model)
 {
-    return model.share * model.pace;
+    return model.share;
 }
 
 std::size_t group_keeper::domain_pool::free(const model_id &model) const
