Convert only servers that no group can be formed of

Tests: GroupKeeper.CompletesAGroupFromAServerThatWaitsInVain, TakesNoServersFromAGroupThatWillSoonBeComplete.

--- a/include/carawayloft/fleet/group_keeper.h
+++ b/include/carawayloft/fleet/group_keeper.h
@@ -127,6 +127,9 @@
         /** Those of them that belong to no group. */
         std::size_t free(const model_id &model) const;
 
+        /** Those that wait in vain for others with their model. */
+        std::size_t stranded(const model_profile &model) const;
+
         /** All that are there. */
         std::size_t size() const;
     };
--- a/src/fleet_pipe/group_keeper_formation.cpp
+++ b/src/fleet_pipe/group_keeper_formation.cpp
@@ -49,6 +49,12 @@
     return sizeIn(hot) + sizeIn(warm) + (under == preparing.end() ? 0 : under->second);
 }
 
+std::size_t group_keeper::domain_pool::stranded(const model_profile &model) const
+{
+    const auto ready = hot.find(model.model);
+    return ready == hot.end() ? 0 : std::min(ready->second.size(), free(model.model) % model.hostsPerGroup);
+}
+
 std::size_t group_keeper::domain_pool::held(const model_id &model) const
 {
     const auto members = grouped.find(model);
@@ -386,8 +392,8 @@
     for (const model_profile *model : byNeed(service)) {
         const std::size_t held = pool.free(model->model);
         std::size_t donors = 0;
-        for (const auto &[other, backends] : pool.hot) {
-            donors += other == model->model ? 0 : backends.size();
+        for (const model_profile &other : service.engine->models) {
+            donors += other.model == model->model ? 0 : pool.stranded(other);
         }
         const std::size_t missing = model->hostsPerGroup - std::min<std::size_t>(held, model->hostsPerGroup);
         if (held > 0 && missing > 0 && missing <= donors && (best == nullptr || missing < bestMissing)) {
@@ -403,8 +409,9 @@
     if (m_now < since + strandedTime) {
         return;
     }
-    for (auto &[other, backends] : pool.hot) {
-        while (other != best->model && bestMissing > 0 && !backends.empty() && mayLoad(service)) {
+    for (const model_profile &other : service.engine->models) {
+        std::vector<backend_id> &backends = pool.hot[other.model];
+        for (std::size_t spare = other.model == best->model ? 0 : pool.stranded(other); spare > 0 && bestMissing > 0 && mayLoad(service); --spare) {
             startStandby(service, *best, backends.back(), true);
             backends.pop_back();
             --bestMissing;
--- a/tests/fleet/group_keeper_test.cpp
+++ b/tests/fleet/group_keeper_test.cpp
@@ -117,6 +117,38 @@
     EXPECT_EQ(fleet.engines.at(fleet.open(largeModel).front().head()).record.zone, availability_zone_id("d1"));
 }
 
+TEST(GroupKeeper, CompletesAGroupFromAServerThatWaitsInVain)
+{
+    engine_fleet fleet(1, 9, makeEngine(4, 3));
+    fleet.lead(2);
+    fleet.settle(40);
+    // The spare of the large model goes first, then one more member: three are left, and a spare of the small one.
+    for (int i = 0; i < 2; ++i) {
+        fleet.lose(fleet.open(largeModel).front().members.back());
+        fleet.settle(1);
+    }
+    fleet.settle(30);
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_EQ(fleet.open(smallModel).size(), 1U);
+}
+
+TEST(GroupKeeper, TakesNoServersFromAGroupThatWillSoonBeComplete)
+{
+    engine_fleet fleet(1, 9, makeEngine(4, 3));
+    fleet.lead(2);
+    fleet.settle(40);
+    for (int i = 0; i < 2; ++i) {
+        fleet.lose(fleet.open(largeModel).front().members.back());
+        fleet.settle(1);
+    }
+    const backend_id added = fleet.add("d0");
+    fleet.settle(1);
+    EXPECT_EQ(fleet.engines.at(added).record.loaded, largeModel);
+    fleet.settle(30);
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_EQ(fleet.open(smallModel).size(), 1U);
+}
+
 TEST(GroupKeeper, NeverLetsAMemberGoElsewhereWhileItsHeadServes)
 {
     EXPECT_TRUE(rc::check([] {
