Serve the newest waiting request first, and share what a warm server bears by what others send

Cause: in overload every request waited until it could no longer be on time (wait 117 ms, first event 143 ms, objective 200 ms), and with seven gateways equal parts of the bound left 23 requests a second.

--- a/include/carawayloft/gateway/group_watch.h
+++ b/include/carawayloft/gateway/group_watch.h
@@ -67,6 +67,11 @@
 
     duration silence(time_point now) const;
     duration loadAge(time_point now) const;
+    duration age(time_point now) const;
+    std::uint32_t othersRunning() const
+    {
+        return m_others.running;
+    }
     group_load ownLoad(group_epoch epoch, time_point now) const;
 
     std::uint32_t slots() const
@@ -88,6 +93,7 @@
     std::map<backend_call_id, running_call> m_calls;
     group_load m_others;
     std::deque<std::pair<time_point, token_count>> m_sent; /**< Prompts of the last second. */
+    time_point m_begunAt;
     time_point m_othersAt;
     time_point m_progressAt; /**< Or of the first call after a time without any. */
     time_point m_suspendedUntil;
--- a/include/carawayloft/gateway/shared_limits.h
+++ b/include/carawayloft/gateway/shared_limits.h
@@ -4,6 +4,7 @@
 #include <carawayloft/core/ids.h>
 
 #include <map>
+#include <optional>
 
 namespace carawayloft {
 
@@ -34,8 +35,11 @@
     /** Takes one more send of a request that was sent before; false when the bound is reached. */
     bool takeRepeat(const service_id &service, time_point now);
 
-    /** Takes one request to a backend server; false when it bears no more within this second. */
-    bool takeColdSend(const backend_id &backend, double coldRequestsPerSecond, bool cold, time_point now);
+    /**
+     * Takes one request to a backend server; false when it bears no more within this second. @p others is
+     * what the other gateways send there in a second, as far as known; without it each keeps to its part.
+     */
+    bool takeColdSend(const backend_id &backend, double coldRequestsPerSecond, bool cold, std::optional<double> others, time_point now);
 
 private:
     struct service_window {
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -167,16 +167,14 @@
 
 void gateway_pipe::dispatchWaiting()
 {
-    // Streams that were broken off first, then what can still be on time, then the rest.
-    std::vector<std::pair<int, request_id>> waiting;
+    // Streams that were broken off first. Then the newest: in overload the oldest would all be late.
+    std::vector<std::pair<bool, request_id>> waiting;
     for (const request_id &request : m_waiting) {
-        const flow &each = m_flows.at(request);
-        const bool onTime = m_now < each.arrivedAt + each.route->objective;
-        waiting.emplace_back(each.relayed ? 0 : (onTime ? 1 : 2), request);
+        waiting.emplace_back(m_flows.at(request).relayed, request);
     }
-    std::sort(waiting.begin(), waiting.end());
+    std::sort(waiting.rbegin(), waiting.rend());
     m_waiting.clear();
-    for (const auto &[rank, request] : waiting) {
+    for (const auto &[relayed, request] : waiting) {
         if (const auto found = m_flows.find(request); found != m_flows.end() && found->second.call.value() == 0) {
             dispatch(found->second);
         }
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -18,6 +18,9 @@
 static constexpr double otherZoneMs = 3.0;
 static constexpr double otherZoneRequests = 0.3;
 
+/** Age of a group from which on reports tell what other gateways send there. */
+static constexpr duration settleTime{1'200};
+
 /** Time that a caller of a broken stream waits for more before it leaves. */
 static constexpr duration resumePatience{1'800};
 
@@ -68,9 +71,7 @@
 /** The open group with the shortest time to the first event among those that bear one more request. */
 std::optional<gateway_pipe::candidate> gateway_pipe::chooseGroup(const flow &each)
 {
-    const bool late = !each.relayed && m_now >= each.arrivedAt + each.route->objective;
-    const double slotShare = late ? lateSlotShare : usedSlotShare;
-    const double readLimit = late ? lateReadShare : usedReadShare;
+    const engine_time timeToObjective = each.arrivedAt + each.route->objective - m_now;
     std::vector<candidate> candidates;
     for (const auto &[epoch, group] : m_view.groups()) {
         group_watch *watch = watchOf(epoch);
@@ -80,10 +81,13 @@
         }
         const backend_view::backend *head = m_view.find(group.head());
         const engine_work work = watch->work();
-        if (head == nullptr || !mayBeUsed(*head) || each.tried.contains(group.head()) || work.running >= watch->slots() * slotShare) {
+        if (head == nullptr || !mayBeUsed(*head) || each.tried.contains(group.head())) {
             continue;
         }
-        if (work.running > 0 && watch->readShare(m_now) > readLimit) {
+        const bool late = !each.relayed && watch->firstEventTime(each.request.promptTokens) > timeToObjective;
+        const bool full = work.running >= watch->slots() * (late ? lateSlotShare : usedSlotShare);
+        const bool reads = work.running > 0 && watch->readShare(m_now) > (late ? lateReadShare : usedReadShare);
+        if (full || reads) {
             continue;
         }
         const double zone = head->record.zone == m_options.zone ? 0.0 : otherZoneMs;
@@ -91,8 +95,12 @@
     }
     std::sort(candidates.begin(), candidates.end(), [](const candidate &left, const candidate &right) { return left.cost < right.cost; });
     for (const candidate &target : candidates) {
+        const group_watch &watch = *watchOf(target.group);
         const bool cold = m_now < target.backend->coldUntil;
-        if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, m_now)) {
+        // What others have running is about what they send in a second; right after the start it says nothing.
+        const std::optional<double> others
+            = cold || watch.age(m_now) < settleTime ? std::nullopt : std::optional<double>(watch.othersRunning());
+        if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, others, m_now)) {
             return target;
         }
     }
@@ -117,7 +125,7 @@
     std::sort(candidates.begin(), candidates.end(), [](const candidate &left, const candidate &right) { return left.cost < right.cost; });
     for (const candidate &target : candidates) {
         const bool cold = m_now < target.backend->coldUntil;
-        if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, m_now)) {
+        if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, std::nullopt, m_now)) {
             return target;
         }
     }
--- a/src/gateway_pipe/group_watch.cpp
+++ b/src/gateway_pipe/group_watch.cpp
@@ -32,6 +32,7 @@
 group_watch::group_watch(const engine_profile &engine, const model_profile &model, time_point now)
     : m_engine(engine)
     , m_model(model)
+    , m_begunAt(now)
     , m_othersAt(now)
     , m_progressAt(now)
 {
@@ -137,6 +138,11 @@
     return std::chrono::duration_cast<duration>(now - m_progressAt);
 }
 
+duration group_watch::age(time_point now) const
+{
+    return std::chrono::duration_cast<duration>(now - m_begunAt);
+}
+
 duration group_watch::loadAge(time_point now) const
 {
     return std::chrono::duration_cast<duration>(now - m_othersAt);
--- a/src/gateway_pipe/shared_limits.cpp
+++ b/src/gateway_pipe/shared_limits.cpp
@@ -53,13 +53,14 @@
     return true;
 }
 
-bool shared_limits::takeColdSend(const backend_id &backend, double coldRequestsPerSecond, bool cold, time_point now)
+bool shared_limits::takeColdSend(const backend_id &backend, double coldRequestsPerSecond, bool cold, std::optional<double> others, time_point now)
 {
     if (coldRequestsPerSecond <= 0.0) {
         return true;
     }
     const double bound = cold ? coldRequestsPerSecond : usedColdShare * (coldRequestsPerSecond * m_limits.coldExcess + m_limits.coldSpare);
-    const double own = std::max(1.0, std::floor(bound / std::max<std::uint32_t>(m_gateways, 1)));
+    const double part = bound / std::max<std::uint32_t>(m_gateways, 1);
+    const double own = std::max(1.0, std::floor(others ? std::max(part, (bound - *others) * usedShare) : part));
     sliding_count &sends = m_sends.try_emplace(backend, sliding_count(coldWindow)).first->second;
     const double spread = std::ceil(own * (std::chrono::duration<double>(spreadWindow) / std::chrono::duration<double>(coldWindow))) + spareSpread;
     if (static_cast<double>(sends.count(now)) + 1.0 > own || static_cast<double>(sends.countSince(now - spreadWindow)) + 1.0 > spread) {
--- a/tests/gateway/shared_limits_test.cpp
+++ b/tests/gateway/shared_limits_test.cpp
@@ -69,7 +69,7 @@
 {
     int taken = 0;
     for (duration gone{0}; gone < duration(1'000); gone += duration(10)) {
-        while (limits.takeColdSend(backend, 36.0, cold, start + gone)) {
+        while (limits.takeColdSend(backend, 36.0, cold, std::nullopt, start + gone)) {
             ++taken;
         }
     }
@@ -104,7 +104,7 @@
     shared_limits limits(makeLimits());
     limits.setGateways(1, start);
     int atOnce = 0;
-    while (limits.takeColdSend(backend, 36.0, true, start)) {
+    while (limits.takeColdSend(backend, 36.0, true, std::nullopt, start)) {
         ++atOnce;
     }
     EXPECT_LE(atOnce, 8);
