Take out an availability zone that no agent has declared

Found by GatewayPipe.SendsNothingToAZoneThatIsOut: an evacuation of a zone that the fleet state did not know was refused.

--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -226,6 +226,10 @@
 
 void control_task::serveCall(const zone_change &call, const std::shared_ptr<http_exchange> &exchange)
 {
+    // No agent declares zones on such an installation; a zone must be known before it can be taken out.
+    if (!m_pipe->fleet().zones().contains(call.zone.zone)) {
+        run(operator_change{operator_token(), fleet_command{{}, "operator", {}, put_zone{{call.zone.zone, zone_state::Serving}}}, true});
+    }
     const operator_token token = wait(exchange, [](revision at) { return http_response{200, {{"Content-Type", jsonType}}, encodeAccepted(at)}; });
     run(operator_change{token, fleet_command{{}, "operator", {}, put_zone{call.zone}}, true});
 }
