Let nobody join elsewhere while a head that was only cut off may serve

Change: a head that reports that it serves is closed or taken over first, members that come back with it wait for its word, and a head counts as dead only when no gateway with work there reaches it. Tests: GroupKeeper.AHeadThatWasOnlyCutOffIsNotTakenForFree, MembersThatComeBackBeforeTheirHeadWaitForIt.

--- a/include/carawayloft/fleet/backend_registry.h
+++ b/include/carawayloft/fleet/backend_registry.h
@@ -52,6 +52,7 @@
         time_point heardAt;
         time_point coldUntil;
         time_point lostAt; /**< Of the loss, while it is lost. */
+        time_point returnedAt; /**< Of the last time that it was heard again after a loss, in the same start. */
         bool deadConfirmed = false; /**< While it is lost: it surely does not run. */
     };
 
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -38,6 +38,7 @@
     struct gateway {
         time_point heardAt;
         std::vector<group_load> loads;
+        std::set<backend_id> unreachable;
     };
     struct running_probe {
         backend_id backend;
@@ -67,6 +68,7 @@
     void startProbe(const backend_id &backend, bool confirms);
     void findSilent();
     bool groupProgresses(const backend_id &member) const;
+    bool everyoneMisses(const backend_id &backend) const;
     std::uint32_t countGateways();
 
     time_point m_now;
--- a/include/carawayloft/fleet/group_keeper.h
+++ b/include/carawayloft/fleet/group_keeper.h
@@ -153,6 +153,8 @@
     void close(managed_group &each, bool preempt, const char *reason);
     void setPhase(managed_group &each, group_phase phase, const char *reason);
     void retire(group_epoch epoch, const char *reason);
+    void findServing();
+    bool headMayServe(const backend_registry::entry &entry) const;
 
     // Groups that another leader formed.
     void adoptUnknown();
@@ -193,6 +195,8 @@
     std::map<backend_id, standby> m_standby;
     std::map<order_id, order_place> m_orders;
     std::set<group_epoch> m_retired;
+    std::map<group_epoch, backend_id> m_unsure; /**< Retired without a word of their head, which nobody reached. */
+    std::set<group_epoch> m_serving; /**< Epochs whose head says that it serves. */
     std::size_t m_arrived = 0; /**< Backend servers known at the last look. */
     time_point m_arrivedAt; /**< Of the last one. */
     std::map<group_epoch, time_point> m_unknownSince;
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -62,6 +62,9 @@
     if (!sameStart || differs(current.record, record)) {
         out.push_back({record.backend});
     }
+    if (sameStart && current.record.state == backend_state::Lost) {
+        current.returnedAt = now;
+    }
     current.record = std::move(record);
     current.heardAt = now;
     current.coldUntil = now + in.record.coldLeft;
@@ -103,7 +106,7 @@
     if (m_entries.contains(in.record.backend)) {
         return {};
     }
-    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, false};
+    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, false};
     return {};
 }
 
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -130,6 +130,7 @@
     const auto [found, isNew] = m_gateways.try_emplace(in.gateway);
     found->second.heardAt = m_now;
     found->second.loads = in.report.loads;
+    found->second.unreachable = {in.report.unreachable.begin(), in.report.unreachable.end()};
     m_traffic = m_traffic || std::any_of(in.report.loads.begin(), in.report.loads.end(), [](const group_load &each) { return each.running > 0; });
     if (isNew) {
         m_out.emplace_back(publish_to_gateway{in.gateway, whole(m_now)});
@@ -166,7 +167,7 @@
         return;
     }
     if (entry->record.state == backend_state::Lost) {
-        if (confirms && !entry->deadConfirmed) {
+        if (confirms && !entry->deadConfirmed && everyoneMisses(backend)) {
             runRegistry(backend_failure{backend, true}, "nobody reaches it");
         }
         return;
@@ -197,6 +198,23 @@
     return false;
 }
 
+/** Whether no gateway with work at the group that @p backend heads still reaches it. */
+bool fleet_pipe::everyoneMisses(const backend_id &backend) const
+{
+    for (const engine_group &group : m_keeper.groups()) {
+        if (group.head() != backend) {
+            continue;
+        }
+        return std::none_of(m_gateways.begin(), m_gateways.end(), [&](const auto &each) {
+            const bool uses = std::any_of(each.second.loads.begin(), each.second.loads.end(), [&](const group_load &load) {
+                return load.epoch == group.epoch && load.running > 0;
+            });
+            return uses && !each.second.unreachable.contains(backend);
+        });
+    }
+    return true;
+}
+
 void fleet_pipe::findSilent()
 {
     std::vector<backend_id> silent;
@@ -228,10 +246,11 @@
     if (in.reachable) {
         return;
     }
-    if (!probe.confirms && groupProgresses(probe.backend)) {
+    const bool confirmed = probe.confirms && everyoneMisses(probe.backend);
+    if (!confirmed && groupProgresses(probe.backend)) {
         return;
     }
-    runRegistry(backend_failure{probe.backend, probe.confirms}, probe.confirms ? "nobody reaches it" : "silent, and cannot be reached");
+    runRegistry(backend_failure{probe.backend, confirmed}, confirmed ? "nobody reaches it" : "cannot be reached from here");
 }
 
 backend_record fleet_pipe::current(const backend_id &backend, time_point now) const
--- a/src/fleet_pipe/group_keeper.cpp
+++ b/src/fleet_pipe/group_keeper.cpp
@@ -44,6 +44,7 @@
     m_standby.clear();
     m_orders.clear();
     m_retired.clear();
+    m_unsure.clear();
     m_unknownSince.clear();
     m_loads.clear();
     m_strandedSince.clear();
@@ -101,6 +102,7 @@
         return;
     }
     m_view.emplace(in.view);
+    findServing();
     adoptUnknown();
     std::vector<group_epoch> epochs;
     for (const auto &[epoch, each] : m_groups) {
@@ -300,6 +302,10 @@
 void group_keeper::lookAtClosing(managed_group &each)
 {
     if (headHasClosed(each)) {
+        const backend_registry::entry *head = entryOf(each.group.head());
+        if (head == nullptr || head->record.state == backend_state::Lost) {
+            m_unsure[each.group.epoch] = each.group.head();
+        }
         retire(each.group.epoch, "the head serves no more");
         return;
     }
--- a/src/fleet_pipe/group_keeper_formation.cpp
+++ b/src/fleet_pipe/group_keeper_formation.cpp
@@ -79,6 +79,37 @@
     return sum;
 }
 
+void group_keeper::findServing()
+{
+    m_serving.clear();
+    for (const auto &[id, entry] : m_view->registry.entries()) {
+        const membership_report &report = entry.record.membership;
+        const bool isHead = report.rank == 0 && (entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining);
+        if (isHead && (report.state == membership_state::Open || report.state == membership_state::Closing)) {
+            m_serving.insert(report.epoch);
+        }
+    }
+}
+
+/**
+ * Whether the head of a retired group may still serve: nobody reached it, and this member was away too, so
+ * that both may just have been cut off.
+ */
+bool group_keeper::headMayServe(const backend_registry::entry &entry) const
+{
+    const group_epoch epoch = entry.record.membership.epoch;
+    const auto unsure = m_unsure.find(epoch);
+    if (m_serving.contains(epoch)) {
+        return true;
+    }
+    if (unsure == m_unsure.end() || m_now >= entry.returnedAt + headlessTime) {
+        return false;
+    }
+    const backend_registry::entry *head = entryOf(unsure->second);
+    const bool isBack = head != nullptr && head->record.state != backend_state::Lost && head->heardAt >= entry.returnedAt - headlessTime;
+    return !isBack;
+}
+
 void group_keeper::adoptUnknown()
 {
     std::map<group_epoch, std::map<std::uint32_t, backend_id>> seen;
@@ -87,7 +118,8 @@
         const bool usable = entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining;
         const auto standby = m_standby.find(id);
         const bool isStandby = standby != m_standby.end() && standby->second.epoch == report.epoch;
-        if (usable && report.epoch.value() != 0 && !isStandby && !m_groups.contains(report.epoch) && !m_retired.contains(report.epoch)) {
+        const bool isOver = m_retired.contains(report.epoch) && !m_serving.contains(report.epoch);
+        if (usable && report.epoch.value() != 0 && !isStandby && !m_groups.contains(report.epoch) && !isOver) {
             seen[report.epoch].emplace(report.rank, id);
         }
     }
@@ -183,7 +215,7 @@
         return false;
     }
     const group_epoch epoch = entry.record.membership.epoch;
-    return epoch.value() == 0 || m_retired.contains(epoch);
+    return epoch.value() == 0 || (m_retired.contains(epoch) && !headMayServe(entry));
 }
 
 group_keeper::domain_pool group_keeper::poolOf(const served_service &service, const fabric_domain_id &domain) const
--- a/tests/fleet/group_keeper_test.cpp
+++ b/tests/fleet/group_keeper_test.cpp
@@ -117,6 +117,45 @@
     EXPECT_EQ(fleet.engines.at(fleet.open(largeModel).front().head()).record.zone, availability_zone_id("d1"));
 }
 
+/** A domain whose servers nobody reaches for a while, although they run; comes back member by member. */
+static void cutOff(engine_fleet &fleet)
+{
+    for (auto &[id, engine] : fleet.engines) {
+        engine.reportsToControl = false;
+        fleet.registry.step(backend_failure{id, true}, fleet.now);
+    }
+    fleet.settle(5);
+}
+
+TEST(GroupKeeper, AHeadThatWasOnlyCutOffIsNotTakenForFree)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    cutOff(fleet);
+    for (auto &[id, engine] : fleet.engines) {
+        engine.reportsToControl = true;
+    }
+    fleet.settle(20);
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+}
+
+TEST(GroupKeeper, MembersThatComeBackBeforeTheirHeadWaitForIt)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const engine_group group = fleet.open(largeModel).front();
+    cutOff(fleet);
+    for (auto &[id, engine] : fleet.engines) {
+        engine.reportsToControl = id != group.head();
+    }
+    fleet.settle(10);
+    fleet.engines.at(group.head()).reportsToControl = true;
+    fleet.settle(20);
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+}
+
 TEST(GroupKeeper, CompletesAGroupFromAServerThatWaitsInVain)
 {
     engine_fleet fleet(1, 9, makeEngine(4, 3));
