--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <carawayloft/fleet/fleet_pipe_messages.h>
 #include <carawayloft/fleet/backend_view.h>
+#include <carawayloft/fleet/fleet_pipe_messages.h>
 
 namespace carawayloft {
 
--- a/include/carawayloft/fleet/fleet_pipe_messages.h
+++ b/include/carawayloft/fleet/fleet_pipe_messages.h
@@ -108,6 +108,7 @@
     const char *reason = "";
 };
 
-using fleet_pipe_output = std::variant<publish_to_gateway, grant_to_gateway, mirror_fleet, order_engine, probe_backend, backend_noticed, group_changed, group_retired>;
+using fleet_pipe_output
+    = std::variant<publish_to_gateway, grant_to_gateway, mirror_fleet, order_engine, probe_backend, backend_noticed, group_changed, group_retired>;
 
 } // namespace carawayloft
--- a/include/carawayloft/gateway/shared_limits.h
+++ b/include/carawayloft/gateway/shared_limits.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <carawayloft/gateway/sliding_count.h>
 #include <carawayloft/core/ids.h>
+#include <carawayloft/gateway/sliding_count.h>
 
 #include <map>
 #include <optional>
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,10 +1,12 @@
 #include "cli/control_client.h"
 #include "cli/intent_text.h"
+#include "cli/request_story.h"
 #include "cli/table.h"
 
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -313,6 +315,47 @@
     return printAccepted(line.send("remove_host", {{"host", host.getValue()}}), line);
 }
 
+static int runExplain(const words &arguments)
+{
+    TCLAP::CmdLine line("Tells from the logs of several processes, in JSON form, what became of a request. '*' marks the line that decided it.", ' ', "0.1.0");
+    TCLAP::UnlabeledValueArg<std::string> request("request", "The caller's id of the request.", true, "", "REQUEST-ID", line);
+    TCLAP::UnlabeledMultiArg<std::string> files("logs", "Log files; standard input if none is named.", false, "LOG", line);
+    line.setExceptionHandling(false);
+    words all = arguments;
+    all.insert(all.begin(), "carawayloft explain");
+    line.parse(all);
+    std::vector<log_line> lines;
+    const auto add = [&](std::istream &in) {
+        std::vector<log_line> more = readLogLines(in);
+        lines.insert(lines.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    };
+    for (const std::string &name : files.getValue()) {
+        std::ifstream file(name);
+        if (!file) {
+            std::cerr << "cannot read " << name << "; name a log file\n";
+            return exitRefused;
+        }
+        add(file);
+    }
+    if (files.getValue().empty()) {
+        add(std::cin);
+    }
+    const request_story story = tellStory(request.getValue(), lines);
+    if (story.lines.empty()) {
+        std::cerr << "no line names request '" << request.getValue() << "'; add the logs of all gateways\n";
+        return exitRefused;
+    }
+    for (std::size_t i = 0; i < story.lines.size(); ++i) {
+        const log_line &each = story.lines[i];
+        std::cout << (i == story.deciding ? "* " : "  ") << each.time << ' ' << each.process << ' ' << each.name;
+        for (const auto &[name, value] : each.fields) {
+            std::cout << ' ' << name << '=' << value;
+        }
+        std::cout << '\n';
+    }
+    return exitOk;
+}
+
 static const std::map<std::string, command_entry> &commands()
 {
     static const std::map<std::string, command_entry> all{
@@ -335,6 +378,7 @@
         {"zone leaving",
          {"declare a zone leaving", [](const words &rest) { return sendZone(rest, "leaving", "Declares an availability zone as leaving.", "leaving"); }}},
         {"host remove", {"forget a host", runHostRemove}},
+        {"explain", {"what became of a request, from logs", runExplain}},
         {"intent", {"state an intent and get a plan", runIntent}},
         {"plan list",
          {"the plans",
--- a/src/ends/http_types.cpp
+++ b/src/ends/http_types.cpp
@@ -30,9 +30,12 @@
     const auto connection = headers.find("Connection");
     const std::string named = connection == headers.end() ? std::string() : connection->second;
     for (const auto &[name, value] : headers) {
-        const bool isNamed = std::search(named.begin(), named.end(), name.begin(), name.end(), [](unsigned char left, unsigned char right) {
-                                 return std::tolower(left) == std::tolower(right);
-                             }) != named.end();
+        const bool isNamed = std::search(named.begin(),
+                                         named.end(),
+                                         name.begin(),
+                                         name.end(),
+                                         [](unsigned char left, unsigned char right) { return std::tolower(left) == std::tolower(right); })
+                             != named.end();
         if (!hopByHop.contains(name) && !isNamed) {
             kept.emplace(name, value);
         }
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -35,8 +35,8 @@
 static bool differs(const backend_record &left, const backend_record &right)
 {
     return left.state != right.state || left.address != right.address || left.startedAt != right.startedAt || left.staged != right.staged
-        || left.loaded != right.loaded || left.membership != right.membership || left.zone != right.zone || left.service != right.service
-        || left.fabricDomain != right.fabricDomain || (left.coldLeft.count() > 0) != (right.coldLeft.count() > 0);
+           || left.loaded != right.loaded || left.membership != right.membership || left.zone != right.zone || left.service != right.service
+           || left.fabricDomain != right.fabricDomain || (left.coldLeft.count() > 0) != (right.coldLeft.count() > 0);
 }
 
 std::vector<backend_registry::output> backend_registry::take(const check_in &in, time_point now)
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -81,9 +81,8 @@
 
 void fleet_pipe::take(const check_in_received &in)
 {
-    const bool known = std::any_of(m_services.begin(), m_services.end(), [&](const served_service &each) {
-        return each.service == in.announcement.record.service;
-    });
+    const bool known
+        = std::any_of(m_services.begin(), m_services.end(), [&](const served_service &each) { return each.service == in.announcement.record.service; });
     if (known || m_services.empty()) {
         runRegistry(in.announcement, "announced itself");
     }
@@ -190,9 +189,8 @@
             continue;
         }
         return std::any_of(m_gateways.begin(), m_gateways.end(), [&](const auto &each) {
-            return std::any_of(each.second.loads.begin(), each.second.loads.end(), [&](const group_load &load) {
-                return load.epoch == group.epoch && load.progressing;
-            });
+            return std::any_of(
+                each.second.loads.begin(), each.second.loads.end(), [&](const group_load &load) { return load.epoch == group.epoch && load.progressing; });
         });
     }
     return false;
@@ -206,9 +204,8 @@
             continue;
         }
         return std::none_of(m_gateways.begin(), m_gateways.end(), [&](const auto &each) {
-            const bool uses = std::any_of(each.second.loads.begin(), each.second.loads.end(), [&](const group_load &load) {
-                return load.epoch == group.epoch && load.running > 0;
-            });
+            const bool uses = std::any_of(
+                each.second.loads.begin(), each.second.loads.end(), [&](const group_load &load) { return load.epoch == group.epoch && load.running > 0; });
             return uses && !each.second.unreachable.contains(backend);
         });
     }
--- a/src/fleet_pipe/group_keeper_formation.cpp
+++ b/src/fleet_pipe/group_keeper_formation.cpp
@@ -191,8 +191,7 @@
     for (const model_profile &each : service.engine->models) {
         models.push_back(&each);
     }
-    std::stable_sort(
-        models.begin(), models.end(), [this](const model_profile *left, const model_profile *right) { return need(*left) > need(*right); });
+    std::stable_sort(models.begin(), models.end(), [this](const model_profile *left, const model_profile *right) { return need(*left) > need(*right); });
     return models;
 }
 
@@ -275,11 +274,8 @@
 }
 
 /** Every way to fill @p servers with whole groups so that no other group fits; groups by place in @p models. */
-static void addCompositions(const std::vector<model_profile> &models,
-                            std::size_t at,
-                            std::size_t servers,
-                            std::vector<std::size_t> &chosen,
-                            std::vector<std::vector<std::size_t>> &out)
+static void addCompositions(
+    const std::vector<model_profile> &models, std::size_t at, std::size_t servers, std::vector<std::size_t> &chosen, std::vector<std::vector<std::size_t>> &out)
 {
     if (at == models.size()) {
         const bool full = std::none_of(models.begin(), models.end(), [&](const model_profile &each) { return each.hostsPerGroup <= servers; });
@@ -300,8 +296,8 @@
  * of the fleet, as few models as possible where that makes no difference, since survivors of a lost group
  * then serve as spares for other groups there. What is left over are spares.
  */
-std::map<fabric_domain_id, group_keeper::domain_target>
-group_keeper::targets(const served_service &service, const std::map<fabric_domain_id, domain_pool> &pools) const
+std::map<fabric_domain_id, group_keeper::domain_target> group_keeper::targets(const served_service &service,
+                                                                              const std::map<fabric_domain_id, domain_pool> &pools) const
 {
     const std::vector<model_profile> &models = service.engine->models;
     std::map<fabric_domain_id, domain_target> wanted;
@@ -319,8 +315,8 @@
             }
             return std::pair(most, kinds);
         };
-        const auto best = std::min_element(
-            compositions.begin(), compositions.end(), [&](const auto &one, const auto &other) { return cost(one) < cost(other); });
+        const auto best
+            = std::min_element(compositions.begin(), compositions.end(), [&](const auto &one, const auto &other) { return cost(one) < cost(other); });
         domain_target &target = wanted[domain];
         std::size_t spares = pool.size();
         for (std::size_t i = 0; i < models.size(); ++i) {
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -98,8 +98,7 @@
         const group_watch &watch = *watchOf(target.group);
         const bool cold = m_now < target.backend->coldUntil;
         // What others have running is about what they send in a second; right after the start it says nothing.
-        const std::optional<double> others
-            = cold || watch.age(m_now) < settleTime ? std::nullopt : std::optional<double>(watch.othersRunning());
+        const std::optional<double> others = cold || watch.age(m_now) < settleTime ? std::nullopt : std::optional<double>(watch.othersRunning());
         if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, others, m_now)) {
             return target;
         }
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -112,8 +112,8 @@
         emit(group_suspended{group, reason, silence, moved.size()});
     }
     for (const request_id &request : moved) {
-        if (const auto found = m_flows.find(request); found != m_flows.end() && found->second.route->mayRepeat()
-            && found->second.runs < found->second.route->attempts) {
+        if (const auto found = m_flows.find(request);
+            found != m_flows.end() && found->second.route->mayRepeat() && found->second.runs < found->second.route->attempts) {
             emit(drop_call{found->second.call});
             callFailed(found->second, true, reason);
         }
--- a/src/order_pipe/agreed_log_members.cpp
+++ b/src/order_pipe/agreed_log_members.cpp
@@ -86,8 +86,8 @@
 bool agreed_log::isCaughtUp(const log_member &member) const
 {
     const auto progress = m_progress.find(member.replica);
-    return member.role == member_role::Learner && progress != m_progress.end() && !progress->second.probing
-        && !isSilent(member, m_options.electionTimeout) && progress->second.matched.value() + promotionLagEntries >= lastIndex().value();
+    return member.role == member_role::Learner && progress != m_progress.end() && !progress->second.probing && !isSilent(member, m_options.electionTimeout)
+           && progress->second.matched.value() + promotionLagEntries >= lastIndex().value();
 }
 
 /**
@@ -121,8 +121,7 @@
         after.push_back(learner);
         std::vector<log_member> afterAll = voters;
         afterAll.insert(afterAll.end(), ready.begin(), ready.end());
-        const bool balanced = after.size() <= fewestVoters || bearsZoneLoss(after)
-            || (afterAll.size() == voters.size() + 2 && bearsZoneLoss(afterAll));
+        const bool balanced = after.size() <= fewestVoters || bearsZoneLoss(after) || (afterAll.size() == voters.size() + 2 && bearsZoneLoss(afterAll));
         if (silent != nullptr || even || (balanced && voters.size() < mostVoters)) {
             for (log_member &each : members) {
                 each.role = each.replica == learner.replica ? member_role::Voter : each.role;
--- a/src/tasks/control_session.cpp
+++ b/src/tasks/control_session.cpp
@@ -9,14 +9,13 @@
 
 static constexpr duration tickPeriod{100};
 
-control_session::control_session(
-    asio::io_context &context,
-    timer_service &timers,
-    std::vector<endpoint> replicas,
-    hello own,
-    revision_source inForce,
-    handler handle,
-    duration silenceToLeave)
+control_session::control_session(asio::io_context &context,
+                                 timer_service &timers,
+                                 std::vector<endpoint> replicas,
+                                 hello own,
+                                 revision_source inForce,
+                                 handler handle,
+                                 duration silenceToLeave)
     : m_context(context)
     , m_own(std::move(own))
     , m_inForce(std::move(inForce))
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -14,7 +14,8 @@
 /** Time for the last frames to leave this process. */
 static constexpr duration endDelay{100};
 
-result<std::unique_ptr<control_task>> control_task::create(asio::io_context &context, const settings &loaded, const front_end *front, std::function<void(bool)> ended)
+result<std::unique_ptr<control_task>>
+control_task::create(asio::io_context &context, const settings &loaded, const front_end *front, std::function<void(bool)> ended)
 {
     auto task = std::unique_ptr<control_task>(new control_task(context, loaded, front, std::move(ended)));
     if (status opened = task->openFolder(); failed(opened)) {
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -63,9 +63,8 @@
 status gateway_task::listen()
 {
     const gateway_settings &own = *m_settings.gateway;
-    auto callers = http_server::create(m_context, own.callers, {}, [this](http_request request, std::shared_ptr<http_exchange> exchange) {
-        serve(std::move(request), std::move(exchange));
-    });
+    auto callers = http_server::create(
+        m_context, own.callers, {}, [this](http_request request, std::shared_ptr<http_exchange> exchange) { serve(std::move(request), std::move(exchange)); });
     if (failed(callers)) {
         return errorOf(callers);
     }
@@ -232,7 +231,9 @@
                            run(m_frontEnd.decodeAnswer(found->second.head, request->second.request, call));
                        }
                    },
-                   [&](http_received &each) { run(backend_sent{call, std::move(each.bytes)}); },
+                   [&](http_received &each) {
+                       run(backend_sent{call, std::move(each.bytes)});
+                   },
                    [&](const http_finished &) {
                        run(backend_done{call});
                        m_calls.erase(call);
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -52,7 +52,8 @@
 
     void configure(configuration_fields fields)
     {
-        run(configuration_in_force{std::make_shared<const service_configuration>(std::get<service_configuration>(service_configuration::create(std::move(fields))))});
+        run(configuration_in_force{
+            std::make_shared<const service_configuration>(std::get<service_configuration>(service_configuration::create(std::move(fields))))});
     }
 
     const std::vector<gateway_pipe_output> &run(const gateway_pipe_input &in)
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -108,9 +108,7 @@
 
 TEST(FrontEnd, AnAnnouncementOfAnotherWriterNamesNobody)
 {
-    const auto refuses = [](const nlohmann::json &body) {
-        return failed(front().decodeControlCall(makeRequest("PUT", "/-/instances/i-7", body.dump())));
-    };
+    const auto refuses = [](const nlohmann::json &body) { return failed(front().decodeControlCall(makeRequest("PUT", "/-/instances/i-7", body.dump()))); };
     for (const char *name : {"service", "address", "zone", "state", "sequence"}) {
         nlohmann::json broken = makeAnnouncement();
         broken.erase(name);
@@ -212,8 +210,11 @@
 
 TEST(FrontEnd, WritesOrdersWithTheirFence)
 {
-    const http_call out = front().encodeOrder(
-        {order_id(1), backend_id("i-7"), endpoint("10.0.0.1:80"), log_term(5), join_group{group_epoch(12), model_id("m"), {backend_id("i-7"), backend_id("i-8")}}});
+    const http_call out = front().encodeOrder({order_id(1),
+                                               backend_id("i-7"),
+                                               endpoint("10.0.0.1:80"),
+                                               log_term(5),
+                                               join_group{group_epoch(12), model_id("m"), {backend_id("i-7"), backend_id("i-8")}}});
     const nlohmann::json body = nlohmann::json::parse(out.body);
     EXPECT_EQ(body["op"], "join");
     EXPECT_EQ(body["fence"], 5);
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -14,7 +14,7 @@
 static std::string makeCore(const std::string &ip, const std::string &bootstrap)
 {
     return "nodeName=core\nserves=control\nip=" + ip + "\nzone=mid-a\nlisten.control=" + ip
-        + ":8229\ninternalPortRange=7340,7355\nseeds=10.1.0.41:8229,10.2.0.30:8229\nbootstrap=" + bootstrap + "\ndataDir=/data/core\n";
+           + ":8229\ninternalPortRange=7340,7355\nseeds=10.1.0.41:8229,10.2.0.30:8229\nbootstrap=" + bootstrap + "\ndataDir=/data/core\n";
 }
 
 static std::string without(std::string text, const std::string &name)
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -151,7 +151,7 @@
         }
         const fake_engine_state &head = engines.at(engine.members.front());
         const bool serves = head.alive && head.record.membership.epoch == engine.record.membership.epoch
-            && (head.record.membership.state == membership_state::Open || head.record.membership.state == membership_state::Closing);
+                            && (head.record.membership.state == membership_state::Open || head.record.membership.state == membership_state::Closing);
         EXPECT_FALSE(serves) << engine.record.backend.value() << " joins elsewhere while its head serves";
     }
 
