--- a/include/carawayloft/fleet/backend_registry.h
+++ b/include/carawayloft/fleet/backend_registry.h
@@ -26,12 +26,17 @@
     bool confirmed = false;
 };
 
+/** A backend server that is long gone needs no record any more. */
+struct backend_forgotten {
+    backend_id backend;
+};
+
 /** What another leader knew of a backend server. */
 struct backend_inherited {
     backend_record record;
 };
 
-using backend_registry_input = std::variant<check_in, backend_departure, backend_failure, backend_inherited>;
+using backend_registry_input = std::variant<check_in, backend_departure, backend_failure, backend_forgotten, backend_inherited>;
 
 // Outputs.
 
@@ -70,6 +75,7 @@
     std::vector<output> take(const check_in &in, time_point now);
     std::vector<output> take(const backend_departure &in, time_point now);
     std::vector<output> take(const backend_failure &in, time_point now);
+    std::vector<output> take(const backend_forgotten &in, time_point now);
     std::vector<output> take(const backend_inherited &in, time_point now);
     bool takesAddress(const backend_record &record, time_point now, std::vector<output> &out);
 
--- a/include/carawayloft/fleet/engine_order.h
+++ b/include/carawayloft/fleet/engine_order.h
@@ -26,12 +26,7 @@
     bool preempt = false; /**< Cuts off what is running instead of finishing it. */
 };
 
-/** Leave the group at once. */
-struct leave_group {
-    group_epoch epoch;
-};
-
-using engine_order = std::variant<join_group, open_group, close_group, leave_group>;
+using engine_order = std::variant<join_group, open_group, close_group>;
 
 enum class order_outcome : std::uint8_t {
     Begun,
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -67,6 +67,7 @@
     backend_record current(const backend_id &backend, time_point now) const;
     void startProbe(const backend_id &backend, bool confirms);
     void findSilent();
+    void forgetGone();
     bool groupProgresses(const backend_id &member) const;
     bool everyoneMisses(const backend_id &backend) const;
     std::uint32_t countGateways();
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -166,7 +166,10 @@
         }
         for (const auto &[name, value] : call.headers) {
             // libcurl sends a header without a value only when it is written with a semicolon.
-            one.headers = curl_slist_append(one.headers, value.empty() ? (name + ";").c_str() : (name + ": " + value).c_str());
+            std::string line = name;
+            line += value.empty() ? ";" : ": ";
+            line += value;
+            one.headers = curl_slist_append(one.headers, line.c_str());
         }
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, one.headers);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &impl::onBytes);
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -101,6 +101,12 @@
     return {{in.backend}};
 }
 
+std::vector<backend_registry::output> backend_registry::take(const backend_forgotten &in, time_point)
+{
+    m_entries.erase(in.backend);
+    return {};
+}
+
 std::vector<backend_registry::output> backend_registry::take(const backend_inherited &in, time_point now)
 {
     if (m_entries.contains(in.record.backend)) {
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -19,6 +19,9 @@
 /** Silence after which a backend server counts as lost even if connections to it come about. */
 static constexpr duration longSilence{9'000};
 
+/** Time for which a server that is gone is remembered. */
+static constexpr duration goneTime{120'000};
+
 /** Time between two tests of one backend server. */
 static constexpr duration probePeriod{700};
 
@@ -36,6 +39,7 @@
         return;
     }
     findSilent();
+    forgetGone();
     look();
 }
 
@@ -232,6 +236,25 @@
     }
 }
 
+/** Records of servers that left are kept only as long as a late announcement of theirs may come. */
+void fleet_pipe::forgetGone()
+{
+    publish_fleet change;
+    for (const auto &[id, entry] : m_registry.entries()) {
+        const bool gone = entry.record.state == backend_state::Left || entry.record.state == backend_state::Lost;
+        if (gone && m_now >= std::max(entry.lostAt, entry.heardAt) + goneTime) {
+            change.gone.push_back({id});
+        }
+    }
+    for (const retired_backend &each : change.gone) {
+        m_registry.step(backend_forgotten{each.backend}, m_now);
+        m_probedAt.erase(each.backend);
+    }
+    if (!change.empty()) {
+        publish(std::move(change));
+    }
+}
+
 void fleet_pipe::take(const probe_finished &in)
 {
     const auto found = m_probes.find(in.probe);
--- a/src/fleet_pipe/group_keeper.cpp
+++ b/src/fleet_pipe/group_keeper.cpp
@@ -28,6 +28,7 @@
 std::vector<engine_group> group_keeper::groups() const
 {
     std::vector<engine_group> groups;
+    groups.reserve(m_groups.size());
     for (const auto &[epoch, each] : m_groups) {
         groups.push_back(each.group);
     }
@@ -105,6 +106,7 @@
     findServing();
     adoptUnknown();
     std::vector<group_epoch> epochs;
+    epochs.reserve(m_groups.size());
     for (const auto &[epoch, each] : m_groups) {
         epochs.push_back(epoch);
     }
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -169,6 +169,7 @@
 {
     // Streams that were broken off first. Then the newest: in overload the oldest would all be late.
     std::vector<std::pair<bool, request_id>> waiting;
+    waiting.reserve(m_waiting.size());
     for (const request_id &request : m_waiting) {
         waiting.emplace_back(m_flows.at(request).relayed, request);
     }
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -100,6 +100,7 @@
 void gateway_task::take(const replicas_learned &in)
 {
     std::vector<endpoint> frames;
+    frames.reserve(in.replicas.size());
     for (const control_peer &each : in.replicas) {
         frames.push_back(each.frames);
     }
--- a/tests/fleet/backend_registry_test.cpp
+++ b/tests/fleet/backend_registry_test.cpp
@@ -102,3 +102,12 @@
     registry.step(makeCheckIn("a", 1, 5), start);
     EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
 }
+
+TEST(BackendRegistry, ForgetsAServerThatIsLongGone)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    registry.step(backend_departure{backend_id("a")}, start);
+    registry.step(backend_forgotten{backend_id("a")}, start);
+    EXPECT_EQ(registry.find(backend_id("a")), nullptr);
+}
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -178,14 +178,6 @@
         return order_outcome::Done;
     }
 
-    order_outcome obey(fake_engine_state &engine, const leave_group &order)
-    {
-        if (engine.record.membership.epoch == order.epoch) {
-            engine.record.membership = {};
-        }
-        return order_outcome::Done;
-    }
-
     std::vector<served_service> m_services;
     std::size_t m_added = 0;
 };
