Test the platform's daemon as separate processes; fresh requests before those that come back

Five tests start a control replica and a gateway from the platform's settings, with a server that announces itself: the way there and back, a configuration through a kill, a zone out and back, a planned stop, a frozen control replica.

--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -58,6 +58,7 @@
         client_account_id account;
         time_point arrivedAt;
         time_point deadline; /**< Of the caller and of the route, whichever comes first. */
+        bool returns = false; /**< Its caller was refused before, so that it can hardly be on time. */
         time_point waitsUntil; /**< Without a backend server. */
         backend_call_id call; /**< Under way, or zero. */
         backend_id backend;
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -67,8 +67,8 @@
     each.deadline = m_now + limit;
     m_limits.countRequest(each.service->service, m_now);
     // A caller that was refused before states less time; it will not come again.
-    const bool returns = in.timeLimit.count() > 0 && in.timeLimit < each.route->timeLimit * 9 / 10;
-    each.waitsUntil = m_now + (returns ? std::min(longestWait, limit / waitShare) : each.route->objective * 6 / 10);
+    each.returns = in.timeLimit.count() > 0 && in.timeLimit < each.route->timeLimit * 9 / 10;
+    each.waitsUntil = m_now + (each.returns ? std::min(longestWait, limit / waitShare) : each.route->objective * 6 / 10);
     dispatch(each);
 }
 
@@ -167,15 +167,16 @@
 
 void gateway_pipe::dispatchWaiting()
 {
-    // Streams that were broken off first. Then the newest: in overload the oldest would all be late.
-    std::vector<std::pair<bool, request_id>> waiting;
+    // Streams that were broken off first, then what can be on time, the newest first: in overload the oldest would all be late.
+    std::vector<std::pair<int, request_id>> waiting;
     waiting.reserve(m_waiting.size());
     for (const request_id &request : m_waiting) {
-        waiting.emplace_back(m_flows.at(request).relayed, request);
+        const flow &each = m_flows.at(request);
+        waiting.emplace_back(each.relayed ? 2 : (each.returns ? 0 : 1), request);
     }
     std::sort(waiting.rbegin(), waiting.rend());
     m_waiting.clear();
-    for (const auto &[relayed, request] : waiting) {
+    for (const auto &[rank, request] : waiting) {
         if (const auto found = m_flows.find(request); found != m_flows.end() && found->second.call.value() == 0) {
             dispatch(found->second);
         }
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -84,7 +84,7 @@
         if (head == nullptr || !mayBeUsed(*head) || each.tried.contains(group.head())) {
             continue;
         }
-        const bool late = !each.relayed && watch->firstEventTime(each.request.promptTokens) > timeToObjective;
+        const bool late = !each.relayed && (each.returns || watch->firstEventTime(each.request.promptTokens) > timeToObjective);
         const bool full = work.running >= watch->slots() * (late ? lateSlotShare : usedSlotShare);
         const bool reads = work.running > 0 && watch->readShare(m_now) > (late ? lateReadShare : usedReadShare);
         if (full || reads) {
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -464,3 +464,23 @@
     run(call);
     EXPECT_EQ(all<call_backend>().front().resumeAfter, stream_event_id(12));
 }
+
+TEST_F(GatewayPipe, WhatCanBeOnTimeGoesBeforeACallerThatComesBack)
+{
+    publish_fleet change;
+    change.goneGroups = {{group_epoch(1)}, {group_epoch(2)}};
+    control(change);
+    caller_call back = makeCall(3, "/draft/x");
+    back.timeLimit = duration(3'000);
+    caller_call fresh = makeCall(2, "/draft/x");
+    fresh.timeLimit = duration(5'000);
+    run(fresh);
+    run(back);
+    publish_fleet repaired;
+    repaired.groups = {makeGroup(3, "h1", "m1")};
+    control(repaired);
+    tick();
+    const auto calls = all<call_backend>();
+    ASSERT_EQ(calls.size(), 2U);
+    EXPECT_EQ(calls.front().request, request_id(2));
+}
--- a/tests/process/http_call.cpp
+++ b/tests/process/http_call.cpp
@@ -55,7 +55,7 @@
     curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &in);
     curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, &takeHeader);
     curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &in);
-    if (question.method == "POST") {
+    if (question.method == "POST" || question.method == "PUT") {
         curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, question.body.c_str());
         curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(question.body.size()));
     }
--- /dev/null
+++ b/tests/process/platform_path_test.cpp
@@ -0,0 +1,309 @@
+#include "ends/http_server.h"
+#include "process/child.h"
+#include "process/http_call.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
+
+using namespace carawayloft;
+using namespace carawayloft::test_support;
+
+namespace {
+
+/** A plain backend server that announces itself to control, and keeps what it was asked. */
+class announcing_server
+{
+public:
+    announcing_server(std::string id, std::string address, std::string control)
+        : m_id(std::move(id))
+        , m_address(std::move(address))
+        , m_control(std::move(control))
+    {
+        auto server = http_server::create(m_context, endpoint(m_address), {}, [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+            answer(std::move(request), std::move(exchange));
+        });
+        EXPECT_FALSE(failed(server));
+        m_server = std::move(valueOf(server));
+        m_serving = std::thread([this] {
+            const auto guard = asio::make_work_guard(m_context);
+            m_context.run();
+        });
+        m_announcing = std::jthread([this](const std::stop_token &stop) {
+            while (!stop.stop_requested()) {
+                announce();
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            }
+        });
+    }
+
+    ~announcing_server()
+    {
+        m_announcing.request_stop();
+        m_announcing.join();
+        m_context.stop();
+        m_serving.join();
+    }
+
+    std::vector<http_request> asked() const
+    {
+        const std::lock_guard lock(m_lock);
+        return m_asked;
+    }
+
+private:
+    void answer(http_request request, std::shared_ptr<http_exchange> exchange)
+    {
+        http_response response;
+        response.headers = {{"X-Carawayloft-Request-Id", request.header("X-Carawayloft-Request-Id")}, {"X-Carawayloft-Response-Seal", "seal"}};
+        response.body = "answer of " + m_id;
+        const bool slow = request.path.ends_with("slow");
+        {
+            const std::lock_guard lock(m_lock);
+            m_asked.push_back(std::move(request));
+        }
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(slow ? 1'000 : 0));
+        timer->async_wait([timer, exchange = std::move(exchange), response](const std::error_code &) { exchange->respond(response); });
+    }
+
+    void announce()
+    {
+        http_question question;
+        question.method = "PUT";
+        question.url = "http://" + m_control + "/-/instances/" + m_id;
+        question.headers = {"Content-Type: application/json"};
+        question.body = nlohmann::json{{"service", "records"},
+                                       {"address", m_address},
+                                       {"zone", "mid-a"},
+                                       {"version", "v1"},
+                                       {"slots", 6},
+                                       {"state", "ready"},
+                                       {"coldLeftMs", 0},
+                                       {"born", 1'700'000'000'000},
+                                       {"sequence", ++m_announcements}}
+                            .dump();
+        question.timeoutMs = 1'000;
+        ask(question);
+    }
+
+    std::string m_id;
+    std::string m_address;
+    std::string m_control;
+    std::uint64_t m_announcements = 0;
+    asio::io_context m_context{1};
+    std::unique_ptr<http_server> m_server;
+    std::thread m_serving;
+    std::jthread m_announcing;
+    mutable std::mutex m_lock;
+    std::vector<http_request> m_asked;
+};
+
+/** One control replica and one gateway as the platform starts them, at loopback addresses of this test process alone. */
+class PlatformPath : public ::testing::Test
+{
+protected:
+    PlatformPath()
+        : m_net("127." + std::to_string(1 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".")
+        , m_folder(std::filesystem::temp_directory_path() / ("carawayloft-platform-" + std::to_string(getpid())))
+    {
+        std::filesystem::create_directories(m_folder / "data");
+        const std::string common
+            = "zone=mid-a\ninternalPortRange=7340,7355\nseeds=" + m_net + "1:8229\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=100\n";
+        write("core",
+              common + "nodeName=core\nserves=control\nip=" + m_net + "1\nlisten.control=" + control() + "\ndataDir=" + (m_folder / "data").string() + "\n");
+        write("front", common + "nodeName=front\nserves=front\nip=" + m_net + "2\nlisten.front=" + m_net + "2:8227\nlisten.ready=" + m_net + "2:8220\n");
+        startControl("true");
+        m_front = start("front", "true");
+        m_server = std::make_unique<announcing_server>("i-1", m_net + "3:9000", control());
+        await("the configuration is taken", [this] { return put(m_net + "1:8229/-/config", configuration(1)) == 200; });
+        await("the gateway is ready", [this] { return get(m_net + "2:8220/-/ready").status == 200; });
+        await("the server is known", [this] { return call("/records/first").status == 200; });
+    }
+
+    ~PlatformPath() override
+    {
+        m_server.reset();
+        m_front.reset();
+        m_core.reset();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    std::string control() const
+    {
+        return m_net + "1:8229";
+    }
+
+    void startControl(const std::string &first)
+    {
+        m_core = start("core", first);
+    }
+
+    static std::string configuration(int version)
+    {
+        return nlohmann::json{{"version", version},
+                              {"routes",
+                               {{{"name", "records"},
+                                 {"host", "ledger.example"},
+                                 {"pathPrefix", "/records/"},
+                                 {"kind", "non_idempotent"},
+                                 {"timeoutMs", 3'000},
+                                 {"sloMs", 300},
+                                 {"service", "records"},
+                                 {"attempts", 1}}}},
+                              {"services", {{{"name", "records"}, {"maxConns", 100}}}},
+                              {"tenants", {{{"name", "firm"}, {"apiKeys", {"key-1"}}}}}}
+            .dump();
+    }
+
+    static http_answer get(const std::string &url)
+    {
+        http_question question;
+        question.url = "http://" + url;
+        question.timeoutMs = 2'000;
+        return ask(question);
+    }
+
+    static int put(const std::string &url, const std::string &body)
+    {
+        http_question question;
+        question.method = "PUT";
+        question.url = "http://" + url;
+        question.body = body;
+        question.timeoutMs = 2'000;
+        return ask(question).status;
+    }
+
+    http_question question(const std::string &path, const std::string &key = "key-1")
+    {
+        http_question question;
+        question.method = "POST";
+        question.url = "http://" + m_net + "2:8227" + path;
+        question.headers = {"Host: ledger.example", "X-Carawayloft-Request-Id: r" + std::to_string(++m_requests), "Authorization: Token " + key};
+        question.body = "sign-off";
+        question.timeoutMs = 5'000;
+        return question;
+    }
+
+    http_answer call(const std::string &path, const std::string &key = "key-1")
+    {
+        return ask(question(path, key));
+    }
+
+    static void await(const std::string &what, const std::function<bool()> &condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+        while (!condition()) {
+            ASSERT_LT(std::chrono::steady_clock::now(), end) << what;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    std::unique_ptr<child> start(const std::string &name, const std::string &first)
+    {
+        write(name + "-now", read(name) + "bootstrap=" + first + "\n");
+        setenv("CARAWAYLOFT_CONFIG", (m_folder / (name + "-now")).c_str(), 1);
+        return std::make_unique<child>(std::vector<std::string>{std::string(CARAWAYLOFT_BIN) + "/carawayloft_platform"}, (m_folder / (name + ".log")).string());
+    }
+
+    void write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(m_folder / name) << text;
+    }
+
+    std::string read(const std::string &name) const
+    {
+        std::ifstream file(m_folder / name);
+        return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    }
+
+    std::string m_net;
+    std::filesystem::path m_folder;
+    std::atomic<int> m_requests = 0;
+    std::unique_ptr<child> m_core;
+    std::unique_ptr<child> m_front;
+    std::unique_ptr<announcing_server> m_server;
+};
+
+} // namespace
+
+TEST_F(PlatformPath, ARequestReachesAServerThatAnnouncedItselfAndTheAnswerComesBack)
+{
+    const http_answer answer = call("/records/sign?x=1");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "answer of i-1");
+    EXPECT_EQ(answer.headers.at("x-carawayloft-response-seal"), "seal");
+    const http_request asked = m_server->asked().back();
+    EXPECT_EQ(asked.method, "POST");
+    EXPECT_EQ(asked.path, "/records/sign");
+    EXPECT_EQ(asked.query, "x=1");
+    EXPECT_EQ(asked.body, "sign-off");
+    EXPECT_EQ(asked.header("X-Carawayloft-Tenant"), "firm");
+    EXPECT_EQ(asked.header("X-Carawayloft-Expect-Instance"), "i-1");
+    EXPECT_EQ(asked.header("Authorization"), "");
+    EXPECT_EQ(call("/records/x", "unknown").status, 401);
+    EXPECT_EQ(call("/nowhere/x").status, 404);
+}
+
+TEST_F(PlatformPath, AConfigurationIsKeptThroughAKillAndNeverGoesBack)
+{
+    EXPECT_EQ(put(control() + "/-/config", configuration(5)), 200);
+    EXPECT_EQ(put(control() + "/-/config", configuration(3)), 200); // Overtaken: acknowledged, changes nothing.
+    EXPECT_EQ(put(control() + "/-/config", "{\"version\":9"), 400);
+    m_core->kill();
+    startControl("false");
+    http_answer held;
+    await("control answers again", [&] {
+        held = get(control() + "/-/config");
+        return held.status == 200;
+    });
+    EXPECT_EQ(nlohmann::json::parse(held.body)["version"], 5);
+}
+
+TEST_F(PlatformPath, AZoneThatIsOutGetsNothingUntilItIsTakenBack)
+{
+    http_question out;
+    out.method = "POST";
+    out.url = "http://" + control() + "/-/evacuations/mid-a";
+    EXPECT_EQ(ask(out).status, 200);
+    await("the zone is out", [this] { return call("/records/x").status == 503; });
+    const std::size_t before = m_server->asked().size();
+    EXPECT_EQ(call("/records/x").status, 503);
+    EXPECT_EQ(m_server->asked().size(), before);
+    out.method = "DELETE";
+    EXPECT_EQ(ask(out).status, 200);
+    await("the zone is back", [this] { return call("/records/x").status == 200; });
+}
+
+TEST_F(PlatformPath, AStoppingGatewayIsNotReadyAndFinishesWhatItHas)
+{
+    const std::size_t before = m_server->asked().size();
+    std::future<http_answer> slow = askLater(question("/records/slow"));
+    await("the request has reached the server", [&] { return m_server->asked().size() > before; });
+    m_front->signal(SIGTERM);
+    await("the balancer is told", [this] { return get(m_net + "2:8220/-/ready").status == 503; });
+    const http_answer late = call("/records/late"); // Callers that have not heard of it yet are served.
+    EXPECT_EQ(late.status, 200);
+    EXPECT_EQ(late.headers.at("connection"), "close");
+    EXPECT_EQ(slow.get().status, 200);
+    EXPECT_EQ(m_front->wait(), 0);
+}
+
+TEST_F(PlatformPath, WithoutControlKeyedRequestsStopWithinSecondsAndComeBackWithIt)
+{
+    m_core->signal(SIGSTOP);
+    await("keyed requests are refused", [this] { return call("/records/x").status == 503; });
+    EXPECT_EQ(get(m_net + "2:8220/-/ready").status, 503);
+    m_core->signal(SIGCONT);
+    await("keyed requests are served again", [this] { return call("/records/x").status == 200; });
+}
