--- a/include/carawayloft/fleet/engine_order.h
+++ b/include/carawayloft/fleet/engine_order.h
@@ -26,7 +26,12 @@
     bool preempt = false; /**< Cuts off what is running instead of finishing it. */
 };
 
-using engine_order = std::variant<join_group, open_group, close_group>;
+/** Load a model's weights onto the host, beside whatever the engine does. */
+struct stage_model {
+    model_id model;
+};
+
+using engine_order = std::variant<join_group, open_group, close_group, stage_model>;
 
 enum class order_outcome : std::uint8_t {
     Begun,
--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -66,19 +66,39 @@
     }
 };
 
+/** What callers ask of a model, served or not, averaged over the last seconds. */
+struct model_traffic {
+    model_id model;
+    double requestsPerSecond = 0.0;
+    double promptTokens = 0.0; /**< Of a request, on average. */
+    double answerTokens = 0.0; /**< Of a request, on average, as callers expect. */
+    engine_time objective{0}; /**< For the first event, on average. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"model", &model_traffic::model},
+                          field{"requests_per_second", &model_traffic::requestsPerSecond},
+                          field{"prompt_tokens", &model_traffic::promptTokens},
+                          field{"answer_tokens", &model_traffic::answerTokens},
+                          field{"objective_ms", &model_traffic::objective});
+    }
+};
+
 /** A gateway tells the leader what it sees, and asks for the right to go on. */
 struct gateway_report {
     std::uint64_t round = 0; /**< Echoed in the grant. */
     revision at; /**< Revision in force at the gateway. */
     std::vector<group_load> loads;
     std::vector<backend_id> unreachable;
+    std::vector<model_traffic> asked;
 
     static constexpr auto fields()
     {
         return std::tuple(field{"round", &gateway_report::round},
                           field{"revision", &gateway_report::at},
                           field{"loads", &gateway_report::loads},
-                          field{"unreachable", &gateway_report::unreachable});
+                          field{"unreachable", &gateway_report::unreachable},
+                          field{"asked", &gateway_report::asked});
     }
 };
 
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -39,10 +39,12 @@
         time_point heardAt;
         std::vector<group_load> loads;
         std::set<backend_id> unreachable;
+        std::vector<model_traffic> asked;
     };
-    struct running_probe {
-        backend_id backend;
-        bool confirms = false; /**< A gateway could not reach the server either. */
+    /** Tests of one backend server from here. */
+    struct probe_record {
+        time_point startedAt;
+        std::optional<time_point> failedAt; /**< Of the last test, if it failed. */
     };
 
     void take(const fleet_tick &in);
@@ -65,12 +67,17 @@
     void handle(const group_retired &out);
     void publish(publish_fleet change);
     backend_record current(const backend_id &backend, time_point now) const;
-    void startProbe(const backend_id &backend, bool confirms);
+    void startProbe(const backend_id &backend);
+    void reportedUnreachable(const backend_id &backend);
+    void judge(const backend_id &backend);
+    bool anyoneMisses(const backend_id &backend) const;
     void findSilent();
     void forgetGone();
     bool groupProgresses(const backend_id &member) const;
     bool everyoneMisses(const backend_id &backend) const;
     std::uint32_t countGateways();
+    fleet_traffic asked() const;
+    double askedKnown() const;
 
     time_point m_now;
     std::vector<output> m_out;
@@ -78,6 +85,7 @@
     log_term m_term;
     time_point m_leadsSince;
     bool m_traffic = false; /**< Whether callers may have sent requests yet. */
+    time_point m_trafficSince; /**< As far as this replica knows. */
     backend_view m_mirror; /**< What the leader said, while this replica does not lead. */
     backend_registry m_registry;
     group_keeper m_keeper;
@@ -85,8 +93,8 @@
     std::set<availability_zone_id> m_zonesOut;
     std::map<link_id, gateway> m_gateways;
     std::deque<time_point> m_gatewaysLost; /**< Within the last window of the shared limits. */
-    std::map<probe_id, running_probe> m_probes;
-    std::map<backend_id, time_point> m_probedAt;
+    std::map<probe_id, backend_id> m_probes;
+    std::map<backend_id, probe_record> m_probed;
     probe_id m_lastProbe;
     time_point m_lookDue;
 };
--- a/include/carawayloft/fleet/group_keeper.h
+++ b/include/carawayloft/fleet/group_keeper.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <carawayloft/fleet/backend_registry.h>
+#include <carawayloft/fleet/domain_pool.h>
 #include <carawayloft/fleet/engine_order.h>
-#include <carawayloft/service/service_configuration.h>
+#include <carawayloft/fleet/fleet_composition.h>
 
 #include <deque>
 #include <optional>
@@ -16,6 +17,8 @@
     const std::vector<served_service> &services;
     const std::set<availability_zone_id> &zonesOut;
     bool traffic = true; /**< Whether callers may have sent requests yet; before, the weight store is not counted. */
+    fleet_traffic asked; /**< By callers, as gateways have told it. */
+    double askedKnown = 0.0; /**< From 0 to 1: how far it stands for all that callers ask. */
 };
 
 // Inputs.
@@ -95,6 +98,7 @@
         std::map<backend_id, sent_order> joins;
         sent_order opening;
         sent_order closing;
+        bool incomplete = false; /**< Taken over from its head alone; the other members have not announced themselves yet. */
         bool preempt = false;
         time_point since; /**< Of the present phase. */
         time_point due; /**< A group that is not ready by then is given up. */
@@ -105,36 +109,23 @@
         model_id model;
         std::int64_t startedAt = 0;
         sent_order join;
+        time_point readyAt; /**< As expected. */
         time_point due;
         bool loads = false; /**< From the weight store. */
     };
+    /** A backend server whose host loads one more model in the background. */
+    struct staging {
+        model_id model;
+        std::int64_t startedAt = 0;
+        sent_order order;
+        time_point due;
+    };
     /** Where an order belongs. */
     struct order_place {
-        group_epoch epoch;
+        group_epoch epoch; /**< Zero for no group. */
         backend_id backend;
     };
-    /** Free backend servers of one fabric domain by the model that they hold. */
-    struct domain_pool {
-        std::map<model_id, std::vector<backend_id>> hot; /**< Their last group had the model. */
-        std::map<model_id, std::vector<backend_id>> warm; /**< Their host has the weights. */
-        std::map<model_id, std::size_t> preparing;
-        std::map<model_id, std::size_t> grouped; /**< Members of groups. */
-        std::vector<backend_id> empty;
-
-        /** Backend servers that hold the model, or will soon. */
-        std::size_t held(const model_id &model) const;
-
-        /** Those of them that belong to no group. */
-        std::size_t free(const model_id &model) const;
-
-        /** Those that wait in vain for others with their model. */
-        std::size_t stranded(const model_profile &model) const;
-
-        /** All that are there. */
-        std::size_t size() const;
-    };
-    /** How many backend servers of a fabric domain should hold each model. */
-    using domain_target = std::map<model_id, std::size_t>;
+    using domain_pools = std::map<fabric_domain_id, domain_pool>;
 
     void take(const keeper_look &in);
     void take(const keeping_began &in);
@@ -159,25 +150,35 @@
     // Groups that another leader formed.
     void adoptUnknown();
     void adopt(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
+    managed_group &place(managed_group group);
+    void lookAtIncomplete(managed_group &each);
+    const model_profile *profileOf(const service_id &service, const model_id &model) const;
 
     // Formation.
     void planService(const served_service &service);
     bool stillArriving();
-    domain_pool poolOf(const served_service &service, const fabric_domain_id &domain) const;
+    domain_pools poolsOf(const served_service &service) const;
+    std::optional<spare_backend> spareOf(const backend_registry::entry &entry) const;
     const managed_group *groupOf(const backend_id &backend) const;
     bool isFree(const backend_registry::entry &entry) const;
-    bool formOne(const served_service &service, domain_pool &pool);
-    void form(const served_service &service, const model_profile &model, std::vector<backend_id> members, engine_time expected);
-    static void addSpares(const std::vector<model_profile> &models, std::size_t spares, domain_target &target);
+    void form(const served_service &service, const possible_group &chosen);
+    void rebalance(const served_service &service, const fleet_value &value, const fleet_counts &fleet, domain_pools pools);
+    void addSoonReady(const served_service &service, domain_pools &pools) const;
+    fleet_value weigh(const served_service &service) const;
+    group_counts countGroups(const served_service &service) const;
+
+    // Weights.
     void prepare(const served_service &service, domain_pool &pool, const domain_target &target);
-    void convertStranded(const served_service &service, const fabric_domain_id &domain, domain_pool &pool);
-    std::map<fabric_domain_id, domain_target> targets(const served_service &service, const std::map<fabric_domain_id, domain_pool> &pools) const;
-    void startStandby(const served_service &service, const model_profile &model, const backend_id &backend, bool loads);
+    void startStandby(const model_profile &model, const backend_id &backend, bool loads);
     void lookAtStandby();
-    bool mayLoad(const served_service &service) const;
-    std::size_t groupsOf(const model_id &model) const;
-    double need(const model_profile &model) const;
-    std::vector<const model_profile *> byNeed(const served_service &service) const;
+    void stageMore(const served_service &service, const fleet_value &value, const fleet_counts &fleet, const domain_pools &pools);
+    bool lendsMembers(const served_service &service, const managed_group &group, const domain_pools &pools) const;
+    bool lenderExists(const model_profile &model, const managed_group &group, const fabric_domain_id &domain) const;
+    void startStaging(const model_profile &model, const backend_id &backend);
+    void lookAtStaging();
+    std::size_t loading() const;
+    bool mayLoad(const served_service &service, std::size_t extra) const;
+    void countLoad();
 
     void send(sent_order &slot, group_epoch epoch, const backend_id &backend, engine_order what, duration again);
     group_epoch nextEpoch();
@@ -192,15 +193,20 @@
     order_id m_lastOrder;
     time_point m_beganAt;
     std::map<group_epoch, managed_group> m_groups;
+    std::map<backend_id, group_epoch> m_memberOf; /**< Of the groups in m_groups. */
     std::map<backend_id, standby> m_standby;
+    std::map<backend_id, staging> m_staging;
     std::map<order_id, order_place> m_orders;
     std::set<group_epoch> m_retired;
     std::map<group_epoch, backend_id> m_unsure; /**< Retired without a word of their head, which nobody reached. */
+    std::map<group_epoch, time_point> m_closedAt; /**< When their heads answered that they serve no more. */
     std::set<group_epoch> m_serving; /**< Epochs whose head says that it serves. */
     std::size_t m_arrived = 0; /**< Backend servers known at the last look. */
     time_point m_arrivedAt; /**< Of the last one. */
     std::map<group_epoch, time_point> m_unknownSince;
-    std::map<fabric_domain_id, time_point> m_strandedSince; /**< Domains with free members of which no group can be formed. */
+    time_point m_rebalancedAt;
+    std::optional<group_epoch> m_surplus; /**< Group whose members are worth more in another one. */
+    time_point m_surplusSince;
     std::deque<time_point> m_loads; /**< Starts of loads within the last window. */
 };
 
--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -24,6 +24,7 @@
     model_id model; /**< Empty for plain services. */
     token_count promptTokens = 0;
     token_count answerTokens = 0; /**< At most. */
+    token_count expectedAnswerTokens = 0; /**< As its caller guesses; zero when not stated. */
     std::optional<stream_event_id> resumeAfter; /**< Last event that the caller has of an earlier attempt. */
 };
 
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -5,6 +5,7 @@
 #include <carawayloft/gateway/group_watch.h>
 #include <carawayloft/gateway/shared_limits.h>
 #include <carawayloft/gateway/stream_splice.h>
+#include <carawayloft/gateway/traffic_meter.h>
 #include <carawayloft/order/published_fleet.h>
 #include <carawayloft/service/route_table.h>
 
@@ -100,6 +101,7 @@
     void take(const caller_gone &in);
     std::optional<error> identify(flow &each, std::uint32_t &status) const;
     const served_service *chooseService(const service_route &route, const service_configuration &configuration);
+    void countAsked(const flow &each);
     void refuse(flow &each, std::uint32_t status, error why, run_outcome outcome, duration retryAfter);
     void finish(request_id request, bool whole);
 
@@ -160,6 +162,7 @@
     backend_view m_view;
     route_table m_routes;
     shared_limits m_limits;
+    traffic_meter m_meter;
 
     std::map<request_id, flow> m_flows;
     std::map<backend_call_id, request_id> m_calls;
@@ -171,6 +174,7 @@
     backend_call_id m_lastCall;
     probe_id m_lastProbe;
 
+    std::uint32_t m_otherGateways = 0;
     std::uint64_t m_round = 0;
     std::map<std::uint64_t, time_point> m_reportedAt; /**< By round. */
     time_point m_reportDue;
--- a/include/carawayloft/gateway/group_watch.h
+++ b/include/carawayloft/gateway/group_watch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <carawayloft/fleet/fleet_messages.h>
-#include <carawayloft/gateway/pass_time.h>
+#include <carawayloft/fleet/pass_time.h>
 
 #include <deque>
 #include <map>
@@ -10,6 +10,13 @@
 
 namespace carawayloft {
 
+/** What a prompt meets at a group when it is sent now. */
+struct pass_forecast {
+    engine_time firstEvent{0}; /**< Time until its first event. */
+    engine_time passWithout{0}; /**< Length that the pass that reads it has without it; no stream of the group moves meanwhile. */
+    std::uint32_t running = 0; /**< Requests that are there, as far as known. */
+};
+
 /**
  * What a gateway knows of one group: its own requests there exactly, those of other gateways from
  * reports, and whether the group still makes progress. A group gives out events of all its streams in
@@ -27,7 +34,8 @@
 
     void end(backend_call_id call);
 
-    void setOthers(const group_load &others, time_point now);
+    /** What @p gateways others have there, as they told control. */
+    void setOthers(const group_load &others, std::uint32_t gateways, time_point now);
 
     /** This process stood still: the silence meanwhile says nothing. */
     void forgiveSilence(time_point now);
@@ -56,17 +64,15 @@
         return now < m_suspendedUntil;
     }
 
-    /** All that is known to be there. */
-    engine_work work() const;
-
-    /** Time until a prompt's first event, if it is sent now. */
-    engine_time firstEventTime(token_count promptTokens) const;
-
-    /** Part of its time that the group spends on reading prompts; 1.0 is all of it. */
-    double readShare(time_point now) const;
+    /**
+     * An engine works in passes: a prompt waits for the end of the present one and is read in the next,
+     * with all others that came meanwhile.
+     */
+    pass_forecast forecast(token_count promptTokens, time_point now) const;
 
     duration silence(time_point now) const;
     duration loadAge(time_point now) const;
+    /** Since the first call there. */
     duration age(time_point now) const;
     std::uint32_t othersRunning() const
     {
@@ -82,18 +88,26 @@
 private:
     struct running_call {
         token_count promptTokens = 0;
+        time_point sentAt;
         bool began = false; /**< Its first event has come. */
     };
 
-    engine_time expectedSilence() const;
+    engine_time expectedSilence(time_point now) const;
     std::uint32_t tokensSince(time_point since) const;
+    std::uint32_t ownUnread(time_point from, time_point to) const;
+    std::uint32_t running(time_point now) const;
+    bool othersUnknown(time_point now) const;
+    double othersFactor(time_point now) const;
+    engine_time presentPass(time_point now) const;
 
     engine_profile m_engine;
     model_profile m_model;
     std::map<backend_call_id, running_call> m_calls;
     group_load m_others;
+    std::uint32_t m_otherGateways = 0;
     std::deque<std::pair<time_point, token_count>> m_sent; /**< Prompts of the last second. */
-    time_point m_begunAt;
+    bool m_used = false;
+    time_point m_begunAt; /**< Of the first call there. */
     time_point m_othersAt;
     time_point m_progressAt; /**< Or of the first call after a time without any. */
     time_point m_suspendedUntil;
--- a/include/carawayloft/order/agreed_log.h
+++ b/include/carawayloft/order/agreed_log.h
@@ -145,6 +145,10 @@
     {
         return m_leader;
     }
+
+    /** The leader, or nullptr when it is not known or has missed a few heartbeats: then nobody should be sent there. */
+    const log_member *liveLeader(time_point now) const;
+
     log_term term() const
     {
         return m_promise.term;
--- a/include/carawayloft/service/service_configuration.h
+++ b/include/carawayloft/service/service_configuration.h
@@ -67,7 +67,9 @@
     engine_time readPerMillionPairs{0}; /**< On top, for each million pairs of prompt tokens. */
     double loadsPerSecond = 1.0; /**< Loads that may begin at the weight store. */
     std::uint32_t loadsAtOnce = 1; /**< Loads beyond these slow each other down. */
-    engine_time openTime{0}; /**< From the order to open a group to its first request. */
+    double usualPromptTokens = 1'000.0; /**< Of a request, on average. */
+    double usualAnswerTokens = 100.0;
+    std::uint32_t modelsKept = 1; /**< Staged on a host. */
     std::vector<model_profile> models;
 };
 
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -22,9 +22,15 @@
 /** Time for which a server that is gone is remembered. */
 static constexpr duration goneTime{120'000};
 
+/** Time from the first request on, or from the lead's change, after which gateways' averages stand for what callers ask. */
+static constexpr std::chrono::duration<double> askedSettleTime{9.0};
+
 /** Time between two tests of one backend server. */
 static constexpr duration probePeriod{700};
 
+/** Time for which a failed test counts. */
+static constexpr duration evidenceTime{1'500};
+
 std::vector<fleet_pipe::output> fleet_pipe::step(const input &in, time_point now)
 {
     m_now = now;
@@ -54,6 +60,7 @@
         runKeeper(keeping_ended{});
         m_gateways.clear();
         m_probes.clear();
+        m_probed.clear();
     }
     m_leads = in.leads;
     if (!m_leads) {
@@ -133,8 +140,13 @@
     const auto [found, isNew] = m_gateways.try_emplace(in.gateway);
     found->second.heardAt = m_now;
     found->second.loads = in.report.loads;
+    found->second.asked = in.report.asked;
     found->second.unreachable = {in.report.unreachable.begin(), in.report.unreachable.end()};
-    m_traffic = m_traffic || std::any_of(in.report.loads.begin(), in.report.loads.end(), [](const group_load &each) { return each.running > 0; });
+    const bool serves = std::any_of(in.report.loads.begin(), in.report.loads.end(), [](const group_load &each) { return each.running > 0; });
+    if (serves && !m_traffic) {
+        m_traffic = true;
+        m_trafficSince = m_now;
+    }
     if (isNew) {
         m_out.emplace_back(publish_to_gateway{in.gateway, whole(m_now)});
     }
@@ -158,33 +170,38 @@
     }
     m_out.emplace_back(grant_to_gateway{in.gateway, std::move(grant)});
     for (const backend_id &each : in.report.unreachable) {
-        startProbe(each, true);
+        reportedUnreachable(each);
     }
 }
 
 /** Tests whether a backend server can be reached from here, unless that was done a moment ago. */
-void fleet_pipe::startProbe(const backend_id &backend, bool confirms)
+void fleet_pipe::startProbe(const backend_id &backend)
 {
     const backend_registry::entry *entry = m_registry.find(backend);
-    if (entry == nullptr || entry->record.state == backend_state::Left) {
-        return;
-    }
-    if (entry->record.state == backend_state::Lost) {
-        if (confirms && !entry->deadConfirmed && everyoneMisses(backend)) {
-            runRegistry(backend_failure{backend, true}, "nobody reaches it");
-        }
+    if (entry == nullptr || entry->record.state == backend_state::Left || entry->record.state == backend_state::Lost) {
         return;
     }
-    const auto [last, isNew] = m_probedAt.try_emplace(backend, m_now);
-    if (!isNew && m_now < last->second + probePeriod) {
+    const auto [last, isNew] = m_probed.try_emplace(backend, probe_record{m_now, std::nullopt});
+    if (!isNew && m_now < last->second.startedAt + probePeriod) {
         return;
     }
-    last->second = m_now;
+    last->second.startedAt = m_now;
     m_lastProbe = next(m_lastProbe);
-    m_probes[m_lastProbe] = {backend, confirms};
+    m_probes[m_lastProbe] = backend;
     m_out.emplace_back(probe_backend{m_lastProbe, backend, entry->record.address});
 }
 
+/** A gateway cannot reach the backend server: together with a test from here that tells whether it is dead. */
+void fleet_pipe::reportedUnreachable(const backend_id &backend)
+{
+    const auto probed = m_probed.find(backend);
+    if (probed != m_probed.end() && probed->second.failedAt && m_now < *probed->second.failedAt + evidenceTime) {
+        judge(backend);
+    } else {
+        startProbe(backend);
+    }
+}
+
 /** Whether gateways see work go on in the group of @p member, so that the member must be alive. */
 bool fleet_pipe::groupProgresses(const backend_id &member) const
 {
@@ -200,6 +217,12 @@
     return false;
 }
 
+/** Whether a gateway reports that it cannot reach the backend server. */
+bool fleet_pipe::anyoneMisses(const backend_id &backend) const
+{
+    return std::any_of(m_gateways.begin(), m_gateways.end(), [&](const auto &each) { return each.second.unreachable.contains(backend); });
+}
+
 /** Whether no gateway with work at the group that @p backend heads still reaches it. */
 bool fleet_pipe::everyoneMisses(const backend_id &backend) const
 {
@@ -216,6 +239,16 @@
     return true;
 }
 
+/** Decides on a backend server that cannot be reached from here. */
+void fleet_pipe::judge(const backend_id &backend)
+{
+    const bool confirmed = anyoneMisses(backend) && everyoneMisses(backend);
+    if (!confirmed && groupProgresses(backend)) {
+        return;
+    }
+    runRegistry(backend_failure{backend, confirmed}, confirmed ? "nobody reaches it" : "cannot be reached from here");
+}
+
 void fleet_pipe::findSilent()
 {
     std::vector<backend_id> silent;
@@ -231,7 +264,7 @@
         if (m_now >= heardAt + longSilence && !groupProgresses(each)) {
             runRegistry(backend_failure{each, false}, "announces itself no more");
         } else {
-            startProbe(each, false);
+            startProbe(each);
         }
     }
 }
@@ -248,7 +281,7 @@
     }
     for (const retired_backend &each : change.gone) {
         m_registry.step(backend_forgotten{each.backend}, m_now);
-        m_probedAt.erase(each.backend);
+        m_probed.erase(each.backend);
     }
     if (!change.empty()) {
         publish(std::move(change));
@@ -261,16 +294,13 @@
     if (found == m_probes.end()) {
         return;
     }
-    const running_probe probe = found->second;
+    const backend_id backend = found->second;
     m_probes.erase(found);
-    if (in.reachable) {
-        return;
-    }
-    const bool confirmed = probe.confirms && everyoneMisses(probe.backend);
-    if (!confirmed && groupProgresses(probe.backend)) {
-        return;
+    probe_record &record = m_probed[backend];
+    record.failedAt = in.reachable ? std::nullopt : std::optional(m_now);
+    if (!in.reachable) {
+        judge(backend);
     }
-    runRegistry(backend_failure{probe.backend, confirmed}, confirmed ? "nobody reaches it" : "cannot be reached from here");
 }
 
 backend_record fleet_pipe::current(const backend_id &backend, time_point now) const
@@ -329,8 +359,36 @@
 {
     if (m_leads) {
         m_lookDue = m_now + lookPeriod;
-        runKeeper(keeper_look{{m_registry, m_services, m_zonesOut, m_traffic}});
+        runKeeper(keeper_look{{m_registry, m_services, m_zonesOut, m_traffic, asked(), askedKnown()}});
+    }
+}
+
+/** How far the reports of gateways cover the time over which they average what callers ask. */
+double fleet_pipe::askedKnown() const
+{
+    if (!m_traffic || m_gateways.empty()) {
+        return 0.0;
+    }
+    return std::min(1.0, std::chrono::duration<double>(m_now - m_trafficSince) / askedSettleTime);
+}
+
+/** What the callers of all gateways ask. */
+fleet_traffic fleet_pipe::asked() const
+{
+    fleet_traffic sums;
+    for (const auto &[link, each] : m_gateways) {
+        for (const model_traffic &part : each.asked) {
+            model_traffic &sum = sums[part.model];
+            const double rate = sum.requestsPerSecond + part.requestsPerSecond;
+            const double weight = rate > 0.0 ? part.requestsPerSecond / rate : 0.0;
+            sum.model = part.model;
+            sum.promptTokens += weight * (part.promptTokens - sum.promptTokens);
+            sum.answerTokens += weight * (part.answerTokens - sum.answerTokens);
+            sum.objective += weight * (part.objective - sum.objective);
+            sum.requestsPerSecond = rate;
+        }
     }
+    return sums;
 }
 
 void fleet_pipe::handle(const order_wanted &out)
--- /dev/null
+++ b/src/fleet_pipe/fleet_value.cpp
@@ -0,0 +1,82 @@
+#include <carawayloft/fleet/fleet_value.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawayloft {
+
+/** Share of the worst-served model in the value of a fleet. */
+static constexpr double worstModelShare = 0.3;
+
+/** Part of a group's value that a spare in its fabric domain saves when a member is lost. */
+static constexpr double spareShare = 0.5;
+
+/** Load of a group from which on more work is not done on time, and the part that is late at this load. */
+static constexpr double fullLoad = 0.4;
+static constexpr double lateAtFullLoad = 0.2;
+
+/** How the late part grows towards the full load. */
+static constexpr double latenessPower = 3.0;
+
+/** Weight of reading prompts against writing answers: a prompt holds up all streams and first events of its group. */
+static constexpr double readingWeight = 1.5;
+
+/** Stands for less than one group, so that a model without any is as badly served as can be. */
+static constexpr double smallestGroupCount = 0.01;
+
+fleet_value::fleet_value(const engine_profile &engine, const fleet_traffic &traffic)
+    : m_engine(&engine)
+{
+    for (const model_profile &each : engine.models) {
+        double &work = m_work[each.model];
+        if (const auto asked = traffic.find(each.model); asked != traffic.end()) {
+            const engine_time reading = readTime(engine, each, asked->second.promptTokens);
+            const engine_time writing = requestTime(engine, each, 0.0, asked->second.answerTokens);
+            work = asked->second.requestsPerSecond * ((readingWeight * reading + writing) / engine_time(std::chrono::seconds(1)));
+            m_total += work;
+        }
+    }
+}
+
+/** Part of the work that groups under this load do on time. */
+static double onTimeShare(double load)
+{
+    if (load <= fullLoad) {
+        return 1.0 - lateAtFullLoad * std::pow(load / fullLoad, latenessPower);
+    }
+    return (1.0 - lateAtFullLoad) * fullLoad / load;
+}
+
+double fleet_value::onTime(const model_id &model, const group_counts &groups) const
+{
+    const auto held = groups.find(model);
+    return onTimeShare(m_work.at(model) / ((held == groups.end() ? 0.0 : static_cast<double>(held->second)) + smallestGroupCount));
+}
+
+double fleet_value::onTime(const group_counts &groups) const
+{
+    double sum = 0.0;
+    double worst = 1.0;
+    for (const auto &[model, work] : m_work) {
+        const double share = onTime(model, groups);
+        sum += work * share;
+        worst = std::min(worst, share);
+    }
+    return sum + worstModelShare * m_total * worst;
+}
+
+double fleet_value::of(const fleet_counts &fleet) const
+{
+    const double now = onTime(fleet.groups);
+    double greatestLoss = 0.0;
+    for (const auto &[model, count] : fleet.groups) {
+        if (count > 0) {
+            group_counts without = fleet.groups;
+            --without.at(model);
+            greatestLoss = std::max(greatestLoss, now - onTime(without));
+        }
+    }
+    return now + spareShare * greatestLoss * static_cast<double>(fleet.domainsWithSpares);
+}
+
+} // namespace carawayloft
--- a/src/fleet_pipe/group_keeper.cpp
+++ b/src/fleet_pipe/group_keeper.cpp
@@ -7,6 +7,9 @@
 /** Time after which an engine that was not ready to open is asked again. */
 static constexpr duration openResendDelay{150};
 
+/** Time in which a head that was told to close announces that it has. */
+static constexpr duration closeResendDelay{120};
+
 /** Time that a group that drains has for its requests before they are cut off. */
 static constexpr duration drainTime{2'500};
 
@@ -42,19 +45,22 @@
     m_epochs = 0;
     m_beganAt = m_now;
     m_groups.clear();
+    m_memberOf.clear();
     m_standby.clear();
+    m_staging.clear();
     m_orders.clear();
     m_retired.clear();
     m_unsure.clear();
+    m_closedAt.clear();
     m_unknownSince.clear();
     m_loads.clear();
-    m_strandedSince.clear();
+    m_rebalancedAt = m_now;
     for (const engine_group &each : in.inherited) {
         managed_group group;
         group.group = each;
         group.since = m_now;
         group.due = m_now + headSilenceTime;
-        m_groups.emplace(each.epoch, std::move(group));
+        place(std::move(group));
     }
 }
 
@@ -62,7 +68,9 @@
 {
     m_keeping = false;
     m_groups.clear();
+    m_memberOf.clear();
     m_standby.clear();
+    m_staging.clear();
     m_orders.clear();
 }
 
@@ -87,6 +95,10 @@
         settle(group->second.opening);
         if (group->second.closing.order == in.order) {
             group->second.closing.answered = true;
+            // The answer tells as well as an announcement, which may go to a leader that is no more.
+            if (group->second.preempt && in.outcome == order_outcome::Done) {
+                m_closedAt[place.epoch] = m_now;
+            }
         }
         if (const auto join = group->second.joins.find(place.backend); join != group->second.joins.end()) {
             settle(join->second);
@@ -95,6 +107,9 @@
     if (const auto standby = m_standby.find(place.backend); standby != m_standby.end() && standby->second.epoch == place.epoch) {
         settle(standby->second.join);
     }
+    if (const auto under = m_staging.find(place.backend); under != m_staging.end() && place.epoch.value() == 0) {
+        settle(under->second.order);
+    }
 }
 
 void group_keeper::take(const keeper_look &in)
@@ -114,9 +129,7 @@
         lookAtGroup(m_groups.at(epoch));
     }
     lookAtStandby();
-    if (stillArriving()) {
-        return;
-    }
+    lookAtStaging();
     for (const served_service &service : m_view->services) {
         if (service.engine) {
             planService(service);
@@ -155,8 +168,23 @@
     m_out.emplace_back(group_changed{each.group, reason});
 }
 
+/** Keeps a group from now on. */
+group_keeper::managed_group &group_keeper::place(managed_group group)
+{
+    const group_epoch epoch = group.group.epoch;
+    for (const backend_id &member : group.group.members) {
+        m_memberOf[member] = epoch;
+    }
+    return m_groups.insert_or_assign(epoch, std::move(group)).first->second;
+}
+
 void group_keeper::retire(group_epoch epoch, const char *reason)
 {
+    for (const backend_id &member : m_groups.at(epoch).group.members) {
+        if (const auto found = m_memberOf.find(member); found != m_memberOf.end() && found->second == epoch) {
+            m_memberOf.erase(found);
+        }
+    }
     m_groups.erase(epoch);
     m_retired.insert(epoch);
     m_out.emplace_back(group_retired{epoch, reason});
@@ -180,6 +208,9 @@
         lookAtOpening(each);
         break;
     case group_phase::Open:
+        if (each.incomplete) {
+            lookAtIncomplete(each);
+        }
         lookAtOpen(each);
         break;
     case group_phase::Closing:
@@ -259,6 +290,9 @@
 
 void group_keeper::lookAtOpen(managed_group &each)
 {
+    if (each.group.phase != group_phase::Open) {
+        return;
+    }
     if (const char *missing = memberMissing(each)) {
         close(each, true, missing);
         return;
@@ -297,6 +331,9 @@
         return m_now >= each.since + headSilenceTime;
     }
     const membership_report &report = head->record.membership;
+    if (m_closedAt.contains(each.group.epoch)) {
+        return true;
+    }
     const bool serves = report.epoch == each.group.epoch && (report.state == membership_state::Open || report.state == membership_state::Closing);
     return each.closing.answered && !serves;
 }
@@ -318,7 +355,7 @@
     const backend_registry::entry *head = entryOf(each.group.head());
     if (head != nullptr && head->record.state != backend_state::Lost) {
         // As long as the head says that it serves, the order may have been lost behind its answer.
-        each.closing.answered = each.closing.answered && m_now < each.closing.sentAt + 2 * orderResendDelay;
+        each.closing.answered = each.closing.answered && m_now < each.closing.sentAt + closeResendDelay;
         send(each.closing, each.group.epoch, each.group.head(), close_group{each.group.epoch, each.preempt}, orderResendDelay);
     }
 }
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -68,6 +68,9 @@
     m_limits.countRequest(each.service->service, m_now);
     // A caller that was refused before states less time; it will not come again.
     each.returns = in.timeLimit.count() > 0 && in.timeLimit < each.route->timeLimit * 9 / 10;
+    if (!each.returns) {
+        countAsked(each);
+    }
     each.waitsUntil = m_now + (each.returns ? std::min(longestWait, limit / waitShare) : each.route->objective * 6 / 10);
     dispatch(each);
 }
@@ -104,6 +107,16 @@
     return std::nullopt;
 }
 
+/** Adds a request to what callers ask of its model. */
+void gateway_pipe::countAsked(const flow &each)
+{
+    if (each.service->engine && !each.request.model.value().empty()) {
+        const bool hinted = each.request.expectedAnswerTokens > 0;
+        const token_count answer = hinted ? each.request.expectedAnswerTokens : each.request.answerTokens;
+        m_meter.count(each.request.model, each.request.promptTokens, answer, each.route->objective, m_now);
+    }
+}
+
 /** Draws one of the route's services by weight. */
 const served_service *gateway_pipe::chooseService(const service_route &route, const service_configuration &configuration)
 {
@@ -224,7 +237,7 @@
     const group_watch *watch = watchOf(each.group);
     // The group may go on while this one connection has died.
     if (each.call.value() != 0 && watch != nullptr && each.route->mayRepeat() && each.runs < each.route->attempts
-        && silence > std::max(longestSilence, std::chrono::ceil<duration>(silentPasses * watch->firstEventTime(each.request.promptTokens)))) {
+        && silence > std::max(longestSilence, std::chrono::ceil<duration>(silentPasses * watch->forecast(each.request.promptTokens, m_now).firstEvent))) {
         emit(drop_call{each.call});
         callFailed(each, true, "nothing came for " + std::to_string(silence.count()) + " ms");
         return;
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -25,14 +25,14 @@
 static constexpr duration resumePatience{1'800};
 
 /** Part of a group's places that may be taken; the last ones slow down everyone else. */
-static constexpr double usedSlotShare = 0.92;
+static constexpr double usedSlotShare = 1.0;
 
-/** Part of its time that a group may spend on reading prompts; beyond it, the pauses of all its streams grow too long. */
-static constexpr double usedReadShare = 0.6;
+/** Part of a route's objective that the pass may take that reads a prompt: those that come during a pass wait for the next one. */
+static constexpr double passShare = 0.47;
 
-/** The same for requests that cannot be on time any more; the rest is kept for those that can. */
+/** Of these two for requests that cannot be on time any more; the rest is kept for those that can. */
 static constexpr double lateSlotShare = 0.7;
-static constexpr double lateReadShare = 0.5;
+static constexpr double latePassShare = 0.35;
 
 /** Statuses by which a server says that it cannot do it now, or failed. */
 static constexpr std::uint32_t firstServerError = 500;
@@ -80,18 +80,18 @@
             continue;
         }
         const backend_view::backend *head = m_view.find(group.head());
-        const engine_work work = watch->work();
         if (head == nullptr || !mayBeUsed(*head) || each.tried.contains(group.head())) {
             continue;
         }
-        const bool late = !each.relayed && (each.returns || watch->firstEventTime(each.request.promptTokens) > timeToObjective);
-        const bool full = work.running >= watch->slots() * (late ? lateSlotShare : usedSlotShare);
-        const bool reads = work.running > 0 && watch->readShare(m_now) > (late ? lateReadShare : usedReadShare);
-        if (full || reads) {
+        const pass_forecast expected = watch->forecast(each.request.promptTokens, m_now);
+        const bool late = !each.relayed && (each.returns || expected.firstEvent > timeToObjective);
+        const bool full = expected.running >= watch->slots() * (late ? lateSlotShare : usedSlotShare);
+        // The prompt itself does not count, or the longest ones would always wait.
+        if (full || expected.passWithout > each.route->objective * (late ? latePassShare : passShare)) {
             continue;
         }
         const double zone = head->record.zone == m_options.zone ? 0.0 : otherZoneMs;
-        candidates.push_back({head, epoch, watch->firstEventTime(each.request.promptTokens).count() + zone, work.running});
+        candidates.push_back({head, epoch, expected.firstEvent.count() + zone, expected.running});
     }
     std::sort(candidates.begin(), candidates.end(), [](const candidate &left, const candidate &right) { return left.cost < right.cost; });
     for (const candidate &target : candidates) {
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -16,7 +16,7 @@
 static constexpr duration deadMemberSuspension{2'500};
 
 /** Time for which control is told that a backend server cannot be reached. */
-static constexpr duration unreachableTime{1'000};
+static constexpr duration unreachableTime{3'000};
 
 group_watch *gateway_pipe::watchOf(group_epoch group)
 {
@@ -36,7 +36,12 @@
     }
     const auto &models = service->engine->models;
     const auto model = std::find_if(models.begin(), models.end(), [&](const model_profile &each) { return each.model == known->second.model; });
-    return model == models.end() ? nullptr : &m_groups.emplace(group, group_watch(*service->engine, *model, m_now)).first->second;
+    if (model == models.end()) {
+        return nullptr;
+    }
+    group_watch &watch = m_groups.emplace(group, group_watch(*service->engine, *model, m_now)).first->second;
+    watch.setOthers({group, 0, 0, false, 0}, m_otherGateways, m_now);
+    return &watch;
 }
 
 void gateway_pipe::watchGroups()
@@ -86,6 +91,7 @@
     const group_probe probe = found->second;
     m_probes.erase(found);
     if (in.reachable) {
+        m_unreachable.erase(probe.backend);
         return;
     }
     m_unreachable[probe.backend] = m_now + unreachableTime;
@@ -160,9 +166,10 @@
     }
     m_reportedAt.erase(m_reportedAt.begin(), std::next(reported));
     m_limits.setGateways(grant.gateways, m_now);
+    m_otherGateways = grant.gateways > 0 ? grant.gateways - 1 : 0;
     for (auto &[epoch, watch] : m_groups) {
         const auto others = std::find_if(grant.others.begin(), grant.others.end(), [&, id = epoch](const group_load &each) { return each.epoch == id; });
-        watch.setOthers(others == grant.others.end() ? group_load{epoch, 0, 0, false, 0} : *others, m_now);
+        watch.setOthers(others == grant.others.end() ? group_load{epoch, 0, 0, false, 0} : *others, m_otherGateways, m_now);
     }
     lookAtRight();
 }
@@ -187,6 +194,7 @@
     for (const auto &[backend, until] : m_unreachable) {
         report.unreachable.push_back(backend);
     }
+    report.asked = m_meter.averages(m_now);
     m_reportedAt.emplace(m_round, m_now);
     while (m_reportedAt.size() > maxOpenReports) {
         m_reportedAt.erase(m_reportedAt.begin());
--- a/src/gateway_pipe/group_watch.cpp
+++ b/src/gateway_pipe/group_watch.cpp
@@ -22,9 +22,14 @@
 static constexpr double slownessWeight = 0.1;
 static constexpr double greatestSlowness = 8.0;
 
-/** Span of time over which a gateway's rate of prompt tokens is told to others, and the shorter one for its own. */
+/** Span of time over which a gateway's rate of prompt tokens is told to others. */
 static constexpr duration rateWindow{1'000};
-static constexpr duration readWindow{400};
+
+/** Age of a group up to which reports do not tell yet what other gateways send there. */
+static constexpr duration unknownAge{700};
+
+/** Length of the pass whose prompts of other gateways are taken to be read in the present one. */
+static constexpr engine_time usualPass{60};
 
 /** Time for which a group counts as making progress after bytes came from it. */
 static constexpr duration progressTime{1'000};
@@ -43,7 +48,11 @@
     if (m_calls.empty()) {
         m_progressAt = now;
     }
-    m_calls[call] = {promptTokens, false};
+    if (!m_used) {
+        m_used = true;
+        m_begunAt = now;
+    }
+    m_calls[call] = {promptTokens, now, false};
     m_sent.emplace_back(now, promptTokens);
     while (now >= m_sent.front().first + rateWindow) {
         m_sent.pop_front();
@@ -57,7 +66,7 @@
         return;
     }
     const engine_time since = now - m_progressAt;
-    const engine_time pass = passTime(m_engine, m_model, work());
+    const engine_time pass = presentPass(now) / m_slowness;
     if (since > pass / 2.0) {
         const double slowness = std::clamp(since / pass, 1.0, greatestSlowness);
         m_slowness += slownessWeight * (slowness - m_slowness);
@@ -71,9 +80,10 @@
     m_calls.erase(call);
 }
 
-void group_watch::setOthers(const group_load &others, time_point now)
+void group_watch::setOthers(const group_load &others, std::uint32_t gateways, time_point now)
 {
     m_others = others;
+    m_otherGateways = gateways;
     m_othersAt = now;
 }
 
@@ -82,28 +92,65 @@
     m_progressAt = now;
 }
 
-engine_work group_watch::work() const
+/** Tokens of own prompts that were sent within a span of time and are not read yet, as far as known. */
+std::uint32_t group_watch::ownUnread(time_point from, time_point to) const
 {
-    engine_work sum{m_others.running + static_cast<std::uint32_t>(m_calls.size()), m_others.unreadTokens};
+    std::uint32_t sum = 0;
     for (const auto &[call, each] : m_calls) {
-        sum.unreadTokens += each.began ? 0 : each.promptTokens;
+        sum += each.began || each.sentAt <= from || each.sentAt > to ? 0 : each.promptTokens;
     }
     return sum;
 }
 
-engine_time group_watch::expectedSilence() const
+/** When a group opens all gateways send at once, and no report has told of it. */
+bool group_watch::othersUnknown(time_point now) const
+{
+    return m_others.running == 0 && (!m_used || now < m_begunAt + unknownAge);
+}
+
+/** What this gateway sends, times this, is taken for what all send while nothing is known of the others. */
+double group_watch::othersFactor(time_point now) const
 {
-    return std::max(leastSuspectSilence, silenceMargin + m_slowness * silentPasses * passTime(m_engine, m_model, work()));
+    return othersUnknown(now) ? m_otherGateways + 1.0 : 1.0;
+}
+
+std::uint32_t group_watch::running(time_point now) const
+{
+    return m_others.running + static_cast<std::uint32_t>(othersFactor(now) * static_cast<double>(m_calls.size()));
+}
+
+/** Expected length of the pass that is under way. */
+engine_time group_watch::presentPass(time_point now) const
+{
+    const double own = othersFactor(now) * ownUnread(time_point::min(), m_progressAt);
+    const double others = m_others.tokensPerSecond * std::chrono::duration<double>(usualPass).count();
+    return m_slowness * passTime(m_engine, m_model, {static_cast<double>(running(now)), own + others});
+}
+
+pass_forecast group_watch::forecast(token_count promptTokens, time_point now) const
+{
+    const std::uint32_t there = running(now);
+    const engine_time present = there > 0 ? presentPass(now) : engine_time(0);
+    const double own = othersFactor(now) * ownUnread(m_progressAt, now);
+    const double others = m_others.tokensPerSecond * std::chrono::duration<double>(present).count();
+    const engine_time pass = m_slowness * passTime(m_engine, m_model, {there + 1.0, own + others});
+    const engine_time rest = std::max(engine_time(0), present - engine_time(now - m_progressAt));
+    return {rest + pass + m_slowness * readTime(m_engine, m_model, promptTokens), pass, there};
+}
+
+engine_time group_watch::expectedSilence(time_point now) const
+{
+    return std::max(leastSuspectSilence, silenceMargin + silentPasses * presentPass(now));
 }
 
 bool group_watch::isSuspect(time_point now) const
 {
-    return mayBeTested(now) && engine_time(now - m_progressAt) > expectedSilence();
+    return mayBeTested(now) && engine_time(now - m_progressAt) > expectedSilence(now);
 }
 
 bool group_watch::isStuck(time_point now) const
 {
-    return !m_calls.empty() && engine_time(now - m_progressAt) > std::max(leastStuckSilence, stuckFactor * expectedSilence());
+    return !m_calls.empty() && engine_time(now - m_progressAt) > std::max(leastStuckSilence, stuckFactor * expectedSilence(now));
 }
 
 void group_watch::postponeSuspicion(time_point now)
@@ -111,11 +158,6 @@
     m_notSuspectBefore = now + suspicionPause;
 }
 
-engine_time group_watch::firstEventTime(token_count promptTokens) const
-{
-    return m_slowness * (passTime(m_engine, m_model, work()) + readTime(m_engine, m_model, promptTokens));
-}
-
 std::uint32_t group_watch::tokensSince(time_point since) const
 {
     std::uint32_t sum = 0;
@@ -125,14 +167,6 @@
     return sum;
 }
 
-double group_watch::readShare(time_point now) const
-{
-    const double others = m_others.tokensPerSecond * (std::chrono::duration<double>(readWindow) / std::chrono::duration<double>(rateWindow));
-    const double tokens = tokensSince(now - readWindow) + others;
-    const engine_time reading = readTime(m_engine, m_model, 1) * tokens;
-    return m_slowness * (reading / engine_time(readWindow));
-}
-
 duration group_watch::silence(time_point now) const
 {
     return std::chrono::duration_cast<duration>(now - m_progressAt);
@@ -151,9 +185,7 @@
 group_load group_watch::ownLoad(group_epoch epoch, time_point now) const
 {
     group_load own{epoch, static_cast<std::uint32_t>(m_calls.size()), 0, now < m_progressAt + progressTime, tokensSince(now - rateWindow)};
-    for (const auto &[call, each] : m_calls) {
-        own.unreadTokens += each.began ? 0 : each.promptTokens;
-    }
+    own.unreadTokens = ownUnread(time_point::min(), now);
     // The start of a call is no progress of the group.
     own.progressing = own.progressing && std::any_of(m_calls.begin(), m_calls.end(), [](const auto &each) { return each.second.began; });
     return own;
--- a/src/order_pipe/agreed_log_election.cpp
+++ b/src/order_pipe/agreed_log_election.cpp
@@ -32,6 +32,16 @@
     return m_role == log_role::Leader || m_now < m_leaderHeardAt + m_options.electionTimeout;
 }
 
+const log_member *agreed_log::liveLeader(time_point now) const
+{
+    static constexpr int missedHeartbeats = 3;
+    if (m_role != log_role::Leader && now >= m_leaderHeardAt + missedHeartbeats * m_options.heartbeatPeriod) {
+        return nullptr;
+    }
+    const auto found = std::find_if(members().begin(), members().end(), [this](const log_member &each) { return each.replica == m_leader; });
+    return found == members().end() ? nullptr : &*found;
+}
+
 void agreed_log::resetElectionTimer()
 {
     std::uniform_int_distribution<duration::rep> spread(0, m_options.electionTimeout.count());
--- a/src/order_pipe/leader_finder.cpp
+++ b/src/order_pipe/leader_finder.cpp
@@ -5,7 +5,7 @@
 namespace carawayloft {
 
 static constexpr duration askPeriod{1'000};
-static constexpr duration reconnectDelay{200};
+static constexpr duration reconnectDelay{100};
 
 leader_finder::leader_finder(std::vector<endpoint> replicas, duration silenceToLeave)
     : m_replicas(std::move(replicas))
--- a/src/order_pipe/order_pipe.cpp
+++ b/src/order_pipe/order_pipe.cpp
@@ -124,13 +124,8 @@
 
 void order_pipe::redirect(link_id link)
 {
-    endpoint leader;
-    for (const log_member &each : m_log.members()) {
-        if (each.replica == m_log.leader()) {
-            leader = each.frames;
-        }
-    }
-    emit(send_to_link{link, not_leader{leader}});
+    const log_member *leader = m_log.liveLeader(m_now);
+    emit(send_to_link{link, not_leader{leader == nullptr ? endpoint() : leader->frames}});
 }
 
 void order_pipe::fromLink(link_id link, const subscribe &message)
--- a/src/tasks/control_session.cpp
+++ b/src/tasks/control_session.cpp
@@ -7,7 +7,7 @@
 
 namespace carawayloft {
 
-static constexpr duration tickPeriod{100};
+static constexpr duration tickPeriod{50};
 
 control_session::control_session(asio::io_context &context,
                                  timer_service &timers,
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -10,7 +10,7 @@
 namespace carawayloft {
 
 /** Time in which a backend server that runs accepts a connection, also from another zone. */
-static constexpr duration reachPatience{100};
+static constexpr duration reachPatience{60};
 
 static constexpr std::uint32_t serviceUnavailable = 503;
 static constexpr const char *jsonType = "application/json";
@@ -53,6 +53,7 @@
                           },
                           [](const open_group &each) { return "open " + std::to_string(each.epoch.value()); },
                           [](const close_group &each) { return (each.preempt ? "preempt " : "close ") + std::to_string(each.epoch.value()); },
+                          [](const stage_model &each) { return "stage " + each.model.value(); },
                       },
                       order);
 }
@@ -176,13 +177,9 @@
         runFleet(gateway_reported{gateway, report, m_publishedAt, replicaFrames()});
         return;
     }
-    endpoint leader;
-    for (const log_member &each : m_pipe->log().members()) {
-        if (each.replica == m_pipe->log().leader() && each.replica != m_self) {
-            leader = each.frames;
-        }
-    }
-    m_links.send(gateway, not_leader{leader});
+    const log_member *leader = m_pipe->log().liveLeader(monotonicNow());
+    const bool elsewhere = leader != nullptr && leader->replica != m_self;
+    m_links.send(gateway, not_leader{elsewhere ? leader->frames : endpoint()});
 }
 
 bool control_task::serveFrontEnd(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -53,15 +53,8 @@
 
 endpoint control_task::leaderHttp() const
 {
-    if (!m_pipe || m_pipe->log().leader() == m_self) {
-        return {};
-    }
-    for (const log_member &each : m_pipe->log().members()) {
-        if (each.replica == m_pipe->log().leader()) {
-            return each.http;
-        }
-    }
-    return {};
+    const log_member *leader = m_pipe ? m_pipe->log().liveLeader(monotonicNow()) : nullptr;
+    return leader == nullptr || leader->replica == m_self ? endpoint() : leader->http;
 }
 
 void control_task::serve(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -13,11 +13,11 @@
 
 static constexpr duration tickPeriod{20};
 
-/** Silence of the leader after which a gateway asks another replica: a few unanswered reports. */
-static constexpr duration leaderSilence{900};
+/** Silence of the leader after which a gateway asks another replica: one report that got no grant, and some delay. */
+static constexpr duration leaderSilence{450};
 
 /** Time in which a backend server that runs accepts a connection. */
-static constexpr duration reachPatience{60};
+static constexpr duration reachPatience{40};
 
 /** Time over the caller's limit that a call to a backend server may take before libcurl ends it. */
 static constexpr duration callGrace{250};
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -74,7 +74,7 @@
 
     void look()
     {
-        run(keeper_look{{registry, m_services, zonesOut, true}});
+        run(keeper_look{{registry, m_services, zonesOut, true, asked, asked.empty() ? 0.0 : 1.0}});
     }
 
     void lose(const backend_id &id, bool confirmed = true)
@@ -98,6 +98,7 @@
     backend_registry registry;
     group_keeper keeper;
     std::set<availability_zone_id> zonesOut;
+    fleet_traffic asked; /**< By callers; empty for none told. */
     time_point now{std::chrono::hours(1)};
     std::set<backend_id> deaf; /**< Carry orders out without an answer. */
     std::size_t orders = 0;
@@ -143,6 +144,12 @@
         return order_outcome::Begun;
     }
 
+    static order_outcome obey(fake_engine_state &engine, const stage_model &order)
+    {
+        engine.record.staged = {order.model};
+        return order_outcome::Begun;
+    }
+
     /** Nobody joins elsewhere while the head of its old group serves. */
     void checkMayJoin(const fake_engine_state &engine)
     {
