--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -140,7 +140,9 @@
     std::string name; /**< The caller's own id of this attempt. */
     std::uint32_t status = 0;
     std::uint32_t calls = 0;
+    token_count promptTokens = 0;
     duration firstByte{0};
+    duration longestPause{0}; /**< Between events of a stream. */
     duration total{0};
     bool whole = false;
 };
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -73,8 +73,10 @@
         bool headCame = false; /**< Of the present call. */
         bool streams = false; /**< The answer is relayed event by event. */
         bool relayed = false; /**< The caller has the head. */
+        bool eventRelayed = false; /**< The caller has an event. */
         time_point relayedAt; /**< Of the last event. */
         duration firstByte{0};
+        duration longestPause{0}; /**< Between events that were relayed. */
         stream_splice splice;
         std::string body;
         std::string lastFailure;
@@ -99,6 +101,9 @@
     // Callers.
     void take(const caller_call &in);
     void take(const caller_gone &in);
+    bool isStarting() const;
+    void admitEarly();
+    void admit(flow &each);
     std::optional<error> identify(flow &each, std::uint32_t &status) const;
     const served_service *chooseService(const service_route &route, const service_configuration &configuration);
     void countAsked(const flow &each);
@@ -155,6 +160,7 @@
     gateway_pipe_options m_options;
     std::mt19937_64 m_random;
     time_point m_now;
+    time_point m_startedAt; /**< Of the first input. */
     time_point m_lastTick;
     std::vector<output> m_out;
 
@@ -166,6 +172,7 @@
 
     std::map<request_id, flow> m_flows;
     std::map<backend_call_id, request_id> m_calls;
+    std::set<request_id> m_early; /**< Came before this process had found control. */
     std::set<request_id> m_waiting;
     std::map<group_epoch, group_watch> m_groups;
     std::map<backend_id, server_watch> m_servers;
--- a/include/carawayloft/gateway/group_watch.h
+++ b/include/carawayloft/gateway/group_watch.h
@@ -112,6 +112,7 @@
     time_point m_progressAt; /**< Or of the first call after a time without any. */
     time_point m_suspendedUntil;
     time_point m_notSuspectBefore;
+    double m_caution = 1.0; /**< Factor on the silence that is suspect. */
     double m_slowness = 1.0; /**< Times by which passes take longer than the published figures say. */
 };
 
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -13,8 +13,11 @@
 /** What a refused caller is told to wait: about the time in which a group is repaired. */
 static constexpr duration repairRetryAfter{900};
 
-/** The same when the process itself has to find control first, or stops. */
-static constexpr duration startRetryAfter{500};
+/** The same when the process itself has lost control: about the time in which a new leader is found. */
+static constexpr duration controlRetryAfter{800};
+
+/** Time after its start in which a process finds control, even if that starts at the same moment. */
+static constexpr duration startTime{1'500};
 
 /** A stream that is silent for this long, and for this many times the expected pause, goes on elsewhere. */
 static constexpr duration longestSilence{700};
@@ -33,6 +36,7 @@
 std::vector<gateway_pipe::output> gateway_pipe::step(const input &in, time_point now)
 {
     m_now = now;
+    m_startedAt = m_startedAt == time_point() ? now : m_startedAt;
     m_out.clear();
     std::visit([this](const auto &each) { take(each); }, in);
     if (m_stopping && !m_drainedReported && m_flows.empty()) {
@@ -58,16 +62,46 @@
     each.request = in;
     each.arrivedAt = m_now;
     each.splice = stream_splice(in.resumeAfter);
+    if (isStarting()) {
+        // Its caller may have lost a try to the same outage already, and will be served in a moment.
+        m_early.insert(in.request);
+    } else {
+        admit(each);
+    }
+}
+
+/** Whether this process has just started and has not found control yet. */
+bool gateway_pipe::isStarting() const
+{
+    return (!m_routes.configuration() || !holdsRight()) && m_now < m_startedAt + startTime;
+}
+
+/** Admits the requests that came before control was found. */
+void gateway_pipe::admitEarly()
+{
+    if (m_early.empty() || isStarting()) {
+        return;
+    }
+    for (const request_id &request : std::exchange(m_early, {})) {
+        if (const auto found = m_flows.find(request); found != m_flows.end()) {
+            admit(found->second);
+        }
+    }
+}
+
+void gateway_pipe::admit(flow &each)
+{
+    const caller_call &in = each.request;
     std::uint32_t status = 0;
     if (const std::optional<error> failure = identify(each, status)) {
-        refuse(each, status, *failure, run_outcome::DidNotRun, status == 503 ? startRetryAfter : duration(0));
+        refuse(each, status, *failure, run_outcome::DidNotRun, status == 503 ? controlRetryAfter : duration(0));
         return;
     }
     const duration limit = in.timeLimit.count() > 0 ? std::min(in.timeLimit, each.route->timeLimit) : each.route->timeLimit;
-    each.deadline = m_now + limit;
+    each.deadline = each.arrivedAt + limit;
     m_limits.countRequest(each.service->service, m_now);
     // A caller that was refused before states less time; it will not come again.
-    each.returns = in.timeLimit.count() > 0 && in.timeLimit < each.route->timeLimit * 9 / 10;
+    each.returns = (in.timeLimit.count() > 0 && in.timeLimit < each.route->timeLimit * 9 / 10) || m_now >= each.arrivedAt + each.route->objective;
     if (!each.returns) {
         countAsked(each);
     }
@@ -150,8 +184,9 @@
     const auto found = m_flows.find(request);
     const flow &each = found->second;
     const auto total = std::chrono::duration_cast<duration>(m_now - each.arrivedAt);
-    emit(request_ended{request, each.request.name, each.status, each.sends, each.firstByte, total, whole});
+    emit(request_ended{request, each.request.name, each.status, each.sends, each.request.promptTokens, each.firstByte, each.longestPause, total, whole});
     m_waiting.erase(request);
+    m_early.erase(request);
     m_flows.erase(found);
 }
 
@@ -266,10 +301,11 @@
         requests.push_back(request);
     }
     for (const request_id &request : requests) {
-        if (const auto found = m_flows.find(request); found != m_flows.end()) {
+        if (const auto found = m_flows.find(request); found != m_flows.end() && !m_early.contains(request)) {
             lookAtTimes(found->second);
         }
     }
+    admitEarly();
     dispatchWaiting();
     watchGroups();
     lookAtRight();
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -30,6 +30,9 @@
 /** Part of a route's objective that the pass may take that reads a prompt: those that come during a pass wait for the next one. */
 static constexpr double passShare = 0.47;
 
+/** The same for streams that were broken off: their callers already have a part of the answer. */
+static constexpr double resumePassShare = 0.9;
+
 /** Of these two for requests that cannot be on time any more; the rest is kept for those that can. */
 static constexpr double lateSlotShare = 0.7;
 static constexpr double latePassShare = 0.35;
@@ -87,7 +90,8 @@
         const bool late = !each.relayed && (each.returns || expected.firstEvent > timeToObjective);
         const bool full = expected.running >= watch->slots() * (late ? lateSlotShare : usedSlotShare);
         // The prompt itself does not count, or the longest ones would always wait.
-        if (full || expected.passWithout > each.route->objective * (late ? latePassShare : passShare)) {
+        const double allowed = each.relayed ? resumePassShare : (late ? latePassShare : passShare);
+        if (full || expected.passWithout > each.route->objective * allowed) {
             continue;
         }
         const double zone = head->record.zone == m_options.zone ? 0.0 : otherZoneMs;
@@ -308,6 +312,10 @@
         return;
     }
     if (!events.empty()) {
+        if (each->eventRelayed) {
+            each->longestPause = std::max(each->longestPause, std::chrono::duration_cast<duration>(m_now - each->relayedAt));
+        }
+        each->eventRelayed = true;
         each->relayedAt = m_now;
         emit(continue_answer{each->request.request, std::move(events)});
     }
--- a/src/gateway_pipe/group_watch.cpp
+++ b/src/gateway_pipe/group_watch.cpp
@@ -5,18 +5,23 @@
 namespace carawayloft {
 
 /** Passes that may go by in silence, and the time on top for the network and for prompts that are not known here. */
-static constexpr double silentPasses = 2.0;
-static constexpr engine_time silenceMargin{60};
+static constexpr double silentPasses = 1.3;
+static constexpr engine_time silenceMargin{20};
 
 /** Silence is never suspect before this: long prompts of other gateways take as long to read. */
-static constexpr engine_time leastSuspectSilence{140};
+static constexpr engine_time leastSuspectSilence{70};
 
 /** Silence of this many times the suspect one, and at least this long, moves streams without a test. */
 static constexpr double stuckFactor = 4.0;
 static constexpr engine_time leastStuckSilence{900};
 
 /** Time between two tests of the members of a silent group. */
-static constexpr duration suspicionPause{250};
+static constexpr duration suspicionPause{200};
+
+/** Every test makes the next one later, and progress takes that back: tests of groups that are only busy are for nothing. */
+static constexpr double cautionGrowth = 1.3;
+static constexpr double cautionDecay = 0.998;
+static constexpr double greatestCaution = 2.2;
 
 /** Weight of the newest pass in the slowness of a group, and its bounds. */
 static constexpr double slownessWeight = 0.1;
@@ -71,6 +76,7 @@
         const double slowness = std::clamp(since / pass, 1.0, greatestSlowness);
         m_slowness += slownessWeight * (slowness - m_slowness);
     }
+    m_caution = std::max(1.0, m_caution * cautionDecay);
     found->second.began = true;
     m_progressAt = now;
 }
@@ -140,7 +146,7 @@
 
 engine_time group_watch::expectedSilence(time_point now) const
 {
-    return std::max(leastSuspectSilence, silenceMargin + silentPasses * presentPass(now));
+    return std::max(leastSuspectSilence, silenceMargin + silentPasses * presentPass(now)) * m_caution;
 }
 
 bool group_watch::isSuspect(time_point now) const
@@ -156,6 +162,7 @@
 void group_watch::postponeSuspicion(time_point now)
 {
     m_notSuspectBefore = now + suspicionPause;
+    m_caution = std::min(greatestCaution, m_caution * cautionGrowth);
 }
 
 std::uint32_t group_watch::tokensSince(time_point since) const
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -17,7 +17,7 @@
 static constexpr duration leaderSilence{450};
 
 /** Time in which a backend server that runs accepts a connection. */
-static constexpr duration reachPatience{40};
+static constexpr duration reachPatience{30};
 
 /** Time over the caller's limit that a call to a backend server may take before libcurl ends it. */
 static constexpr duration callGrace{250};
@@ -371,7 +371,9 @@
              {{"request", out.name},
               {"status", out.status},
               {"calls", out.calls},
+              {"prompt_tokens", out.promptTokens},
               {"first_byte_ms", out.firstByte.count()},
+              {"pause_ms", out.longestPause.count()},
               {"total_ms", out.total.count()},
               {"whole", out.whole ? 1 : 0}});
     m_metrics.count("carawayloft_requests_total", "status=\"" + std::to_string(out.status) + "\",whole=\"" + (out.whole ? "yes" : "no") + "\"");
