Let replicas that are no seeds find each other again after a restart

Cause: a control replica learned the members of its recovered log while it opened its folder, and then listen() replaced the wanted links by the seeds alone; the directory took the members for known and never added them again. With three replicas the seeds are all of them, so it never showed. With five, a replica that restarted sent nothing to the two that are no seeds: a leader among those got no replies from it, and after a kill of all no majority could vote.

Ruled out: votes and membership (44 entries and the right members on three of five disks); the links that opened tell which were missing.

Change: the seeds are added to the links instead of replacing them, and members are learned from the log also while it runs. Two process tests that failed first (PlatformCore); gauges for voters and learners, which they wait on.

--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -10,6 +10,8 @@
 
 #include <charconv>
 
+#include <algorithm>
+
 namespace carawayloft {
 
 static constexpr std::string_view apiPrefix = "/v1/";
@@ -164,6 +166,10 @@
         m_metrics.setGauge("carawayloft_leads", {}, m_pipe->log().role() == log_role::Leader ? 1 : 0);
         m_metrics.setGauge("carawayloft_revision", {}, static_cast<double>(m_pipe->fleet().at().value()));
         m_metrics.setGauge("carawayloft_log_index", {}, static_cast<double>(m_pipe->log().lastIndex().value()));
+        const auto &members = m_pipe->log().members();
+        const auto voters = std::count_if(members.begin(), members.end(), [](const log_member &each) { return each.role == member_role::Voter; });
+        m_metrics.setGauge("carawayloft_log_voters", {}, static_cast<double>(voters));
+        m_metrics.setGauge("carawayloft_log_learners", {}, static_cast<double>(members.size()) - static_cast<double>(voters));
         m_metrics.setGauge("carawayloft_log_bytes", {}, static_cast<double>(m_store.segmentBytes()));
         m_metrics.setGauge("carawayloft_claims", {}, static_cast<double>(m_pipe->claims().size()));
         m_metrics.setGauge("carawayloft_subscribers", {}, static_cast<double>(m_pipe->published().subscribers()));
--- a/src/tasks/control_task_start.cpp
+++ b/src/tasks/control_task_start.cpp
@@ -123,13 +123,12 @@
         }
         m_metricsHttp = std::move(valueOf(metricsHttp));
     }
-    std::set<endpoint> others;
+    // Members of a recovered log are wanted already; the settings may name only some of them.
     for (const control_peer &each : m_settings.control) {
         if (each.number != own.number) {
-            others.insert(each.frames);
+            m_peers.add(each.frames);
         }
     }
-    m_peers.setWanted(others);
     return {};
 }
 
@@ -236,6 +235,7 @@
 
 void control_task::askToJoin()
 {
+    learnMembers();
     const auto &members = m_pipe->log().members();
     const auto own = std::find_if(members.begin(), members.end(), [this](const log_member &each) { return each.replica == m_self; });
     const bool isKnown = own != members.end() && own->zone == m_settings.zone;
--- /dev/null
+++ b/tests/process/platform_core_test.cpp
@@ -0,0 +1,80 @@
+#include "process/platform_processes.h"
+
+#include <array>
+
+using namespace carawayloft::test_support;
+
+namespace {
+
+/** Three control replicas of which only the first is a seed: the others are known from the log alone. */
+class PlatformCore : public platform_processes
+{
+protected:
+    static constexpr int replicas = 3;
+
+    PlatformCore()
+    {
+        for (int host = 1; host <= replicas; ++host) {
+            writeCore(nameOf(host), host);
+            startReplica(host, "true");
+        }
+        await("the configuration is taken", [this] { return accepted(configuration(1)); });
+        await("all are voters", [this] {
+            for (int host = 1; host <= replicas; ++host) {
+                if (metric(host, "carawayloft_log_voters") != replicas) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    static std::string nameOf(int host)
+    {
+        return "core-" + std::to_string(host);
+    }
+
+    void startReplica(int host, const std::string &first)
+    {
+        m_processes.at(host - 1) = start(nameOf(host), first);
+    }
+
+    /** Whether any replica acknowledges the configuration; those that do not lead name another one. */
+    bool accepted(const std::string &text) const
+    {
+        for (int host = 1; host <= replicas; ++host) {
+            if (put(coreAddress(host), text) == 200) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    std::array<std::unique_ptr<child>, replicas> m_processes;
+};
+
+} // namespace
+
+TEST_F(PlatformCore, ReplicasThatAreNoSeedsFindEachOtherAgainAfterAllWereKilled)
+{
+    for (const std::unique_ptr<child> &each : m_processes) {
+        each->kill();
+    }
+    for (int host = 1; host <= replicas; ++host) {
+        startReplica(host, "false");
+    }
+    await("a change is accepted again", [this] { return accepted(configuration(2)); });
+}
+
+TEST_F(PlatformCore, AReplicaThatStartsAgainCatchesUpWithALeaderThatIsNoSeed)
+{
+    m_processes.front()->kill();
+    await("the others go on", [this] { return accepted(configuration(2)); });
+    startReplica(1, "false");
+    await("it has the whole log", [this] {
+        const double index = metric(1, "carawayloft_log_index");
+        return index > 0 && index == metric(2, "carawayloft_log_index") && index == metric(3, "carawayloft_log_index");
+    });
+    m_processes.back()->kill();
+    await("it counts for a majority", [this] { return accepted(configuration(3)); });
+}
--- a/tests/process/platform_path_test.cpp
+++ b/tests/process/platform_path_test.cpp
@@ -1,6 +1,5 @@
 #include "ends/http_server.h"
-#include "process/child.h"
-#include "process/http_call.h"
+#include "process/platform_processes.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/steady_timer.hpp>
@@ -10,12 +9,8 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <mutex>
 #include <thread>
-#include <unistd.h>
 
 using namespace carawayloft;
 using namespace carawayloft::test_support;
@@ -109,39 +104,25 @@
     std::vector<http_request> m_asked;
 };
 
-/** One control replica and one gateway as the platform starts them, at loopback addresses of this test process alone. */
-class PlatformPath : public ::testing::Test
+/** One control replica and one gateway as the platform starts them. */
+class PlatformPath : public platform_processes
 {
 protected:
     PlatformPath()
-        : m_net("127." + std::to_string(1 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".")
-        , m_folder(std::filesystem::temp_directory_path() / ("carawayloft-platform-" + std::to_string(getpid())))
     {
-        std::filesystem::create_directories(m_folder / "data");
-        const std::string common
-            = "zone=mid-a\ninternalPortRange=7340,7355\nseeds=" + m_net + "1:8229\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=100\n";
-        write("core",
-              common + "nodeName=core\nserves=control\nip=" + m_net + "1\nlisten.control=" + control() + "\ndataDir=" + (m_folder / "data").string() + "\n");
-        write("front", common + "nodeName=front\nserves=front\nip=" + m_net + "2\nlisten.front=" + m_net + "2:8227\nlisten.ready=" + m_net + "2:8220\n");
+        writeCore("core", 1);
+        write("front", common() + "nodeName=front\nserves=front\nip=" + net() + "2\nlisten.front=" + net() + "2:8227\nlisten.ready=" + net() + "2:8220\n");
         startControl("true");
         m_front = start("front", "true");
-        m_server = std::make_unique<announcing_server>("i-1", m_net + "3:9000", control());
-        await("the configuration is taken", [this] { return put(m_net + "1:8229/-/config", configuration(1)) == 200; });
-        await("the gateway is ready", [this] { return get(m_net + "2:8220/-/ready").status == 200; });
+        m_server = std::make_unique<announcing_server>("i-1", net() + "3:9000", control());
+        await("the configuration is taken", [this] { return put(control(), configuration(1)) == 200; });
+        await("the gateway is ready", [this] { return get(net() + "2:8220/-/ready").status == 200; });
         await("the server is known", [this] { return call("/records/first").status == 200; });
     }
 
-    ~PlatformPath() override
-    {
-        m_server.reset();
-        m_front.reset();
-        m_core.reset();
-        std::filesystem::remove_all(m_folder);
-    }
-
     std::string control() const
     {
-        return m_net + "1:8229";
+        return coreAddress(1);
     }
 
     void startControl(const std::string &first)
@@ -149,46 +130,11 @@
         m_core = start("core", first);
     }
 
-    static std::string configuration(int version)
-    {
-        return nlohmann::json{{"version", version},
-                              {"routes",
-                               {{{"name", "records"},
-                                 {"host", "ledger.example"},
-                                 {"pathPrefix", "/records/"},
-                                 {"kind", "non_idempotent"},
-                                 {"timeoutMs", 3'000},
-                                 {"sloMs", 300},
-                                 {"service", "records"},
-                                 {"attempts", 1}}}},
-                              {"services", {{{"name", "records"}, {"maxConns", 100}}}},
-                              {"tenants", {{{"name", "firm"}, {"apiKeys", {"key-1"}}}}}}
-            .dump();
-    }
-
-    static http_answer get(const std::string &url)
-    {
-        http_question question;
-        question.url = "http://" + url;
-        question.timeoutMs = 2'000;
-        return ask(question);
-    }
-
-    static int put(const std::string &url, const std::string &body)
-    {
-        http_question question;
-        question.method = "PUT";
-        question.url = "http://" + url;
-        question.body = body;
-        question.timeoutMs = 2'000;
-        return ask(question).status;
-    }
-
     http_question question(const std::string &path, const std::string &key = "key-1")
     {
         http_question question;
         question.method = "POST";
-        question.url = "http://" + m_net + "2:8227" + path;
+        question.url = "http://" + net() + "2:8227" + path;
         question.headers = {"Host: ledger.example", "X-Carawayloft-Request-Id: r" + std::to_string(++m_requests), "Authorization: Token " + key};
         question.body = "sign-off";
         question.timeoutMs = 5'000;
@@ -200,35 +146,6 @@
         return ask(question(path, key));
     }
 
-    static void await(const std::string &what, const std::function<bool()> &condition)
-    {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-        while (!condition()) {
-            ASSERT_LT(std::chrono::steady_clock::now(), end) << what;
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
-        }
-    }
-
-    std::unique_ptr<child> start(const std::string &name, const std::string &first)
-    {
-        write(name + "-now", read(name) + "bootstrap=" + first + "\n");
-        setenv("CARAWAYLOFT_CONFIG", (m_folder / (name + "-now")).c_str(), 1);
-        return std::make_unique<child>(std::vector<std::string>{std::string(CARAWAYLOFT_BIN) + "/carawayloft_platform"}, (m_folder / (name + ".log")).string());
-    }
-
-    void write(const std::string &name, const std::string &text) const
-    {
-        std::ofstream(m_folder / name) << text;
-    }
-
-    std::string read(const std::string &name) const
-    {
-        std::ifstream file(m_folder / name);
-        return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    }
-
-    std::string m_net;
-    std::filesystem::path m_folder;
     std::atomic<int> m_requests = 0;
     std::unique_ptr<child> m_core;
     std::unique_ptr<child> m_front;
@@ -257,9 +174,9 @@
 
 TEST_F(PlatformPath, AConfigurationIsKeptThroughAKillAndNeverGoesBack)
 {
-    EXPECT_EQ(put(control() + "/-/config", configuration(5)), 200);
-    EXPECT_EQ(put(control() + "/-/config", configuration(3)), 200); // Overtaken: acknowledged, changes nothing.
-    EXPECT_EQ(put(control() + "/-/config", "{\"version\":9"), 400);
+    EXPECT_EQ(put(control(), configuration(5)), 200);
+    EXPECT_EQ(put(control(), configuration(3)), 200); // Overtaken: acknowledged, changes nothing.
+    EXPECT_EQ(put(control(), "{\"version\":9"), 400);
     m_core->kill();
     startControl("false");
     http_answer held;
@@ -291,7 +208,7 @@
     std::future<http_answer> slow = askLater(question("/records/slow"));
     await("the request has reached the server", [&] { return m_server->asked().size() > before; });
     m_front->signal(SIGTERM);
-    await("the balancer is told", [this] { return get(m_net + "2:8220/-/ready").status == 503; });
+    await("the balancer is told", [this] { return get(net() + "2:8220/-/ready").status == 503; });
     const http_answer late = call("/records/late"); // Callers that have not heard of it yet are served.
     EXPECT_EQ(late.status, 200);
     EXPECT_EQ(late.headers.at("connection"), "close");
@@ -303,7 +220,7 @@
 {
     m_core->signal(SIGSTOP);
     await("keyed requests are refused", [this] { return call("/records/x").status == 503; });
-    EXPECT_EQ(get(m_net + "2:8220/-/ready").status, 503);
+    EXPECT_EQ(get(net() + "2:8220/-/ready").status, 503);
     m_core->signal(SIGCONT);
     await("keyed requests are served again", [this] { return call("/records/x").status == 200; });
 }
--- /dev/null
+++ b/tests/process/platform_processes.cpp
@@ -0,0 +1,125 @@
+#include "process/platform_processes.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace carawayloft::test_support {
+
+static constexpr const char *controlPort = ":8229";
+static constexpr const char *metricsPort = ":7341";
+
+platform_processes::platform_processes()
+    : m_net("127." + std::to_string(1 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".")
+    , m_folder(std::filesystem::temp_directory_path() / ("carawayloft-platform-" + std::to_string(getpid())))
+{
+    std::filesystem::create_directories(m_folder);
+}
+
+platform_processes::~platform_processes()
+{
+    std::filesystem::remove_all(m_folder);
+}
+
+std::string platform_processes::common(int seeds) const
+{
+    std::string list;
+    for (int host = 1; host <= seeds; ++host) {
+        list += (host == 1 ? "" : ",") + coreAddress(host);
+    }
+    return "zone=mid-a\ninternalPortRange=7340,7355\nseeds=" + list + "\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=100\n";
+}
+
+void platform_processes::writeCore(const std::string &name, int host, int seeds) const
+{
+    const std::filesystem::path data = m_folder / (name + "-data");
+    std::filesystem::create_directories(data);
+    write(name,
+          common(seeds) + "nodeName=" + name + "\nserves=control\nip=" + m_net + std::to_string(host) + "\nlisten.control=" + coreAddress(host)
+              + "\ndataDir=" + data.string() + "\n");
+}
+
+std::string platform_processes::coreAddress(int host) const
+{
+    return m_net + std::to_string(host) + controlPort;
+}
+
+double platform_processes::metric(int host, const std::string &name) const
+{
+    std::istringstream lines(get(m_net + std::to_string(host) + metricsPort + "/metrics").body);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(name + " ")) {
+            return std::stod(line.substr(name.size() + 1));
+        }
+    }
+    return -1.0;
+}
+
+void platform_processes::write(const std::string &name, const std::string &text) const
+{
+    std::ofstream(m_folder / name) << text;
+}
+
+std::string platform_processes::read(const std::string &name) const
+{
+    std::ifstream file(m_folder / name);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+std::unique_ptr<child> platform_processes::start(const std::string &name, const std::string &first)
+{
+    write(name + "-now", read(name) + "bootstrap=" + first + "\n");
+    setenv("CARAWAYLOFT_CONFIG", (m_folder / (name + "-now")).c_str(), 1);
+    return std::make_unique<child>(std::vector<std::string>{std::string(CARAWAYLOFT_BIN) + "/carawayloft_platform"}, (m_folder / (name + ".log")).string());
+}
+
+std::string platform_processes::configuration(int version)
+{
+    return nlohmann::json{{"version", version},
+                          {"routes",
+                           {{{"name", "records"},
+                             {"host", "ledger.example"},
+                             {"pathPrefix", "/records/"},
+                             {"kind", "non_idempotent"},
+                             {"timeoutMs", 3'000},
+                             {"sloMs", 300},
+                             {"service", "records"},
+                             {"attempts", 1}}}},
+                          {"services", {{{"name", "records"}, {"maxConns", 100}}}},
+                          {"tenants", {{{"name", "firm"}, {"apiKeys", {"key-1"}}}}}}
+        .dump();
+}
+
+http_answer platform_processes::get(const std::string &url)
+{
+    http_question question;
+    question.url = "http://" + url;
+    question.timeoutMs = 2'000;
+    return ask(question);
+}
+
+int platform_processes::put(const std::string &control, const std::string &configuration)
+{
+    http_question question;
+    question.method = "PUT";
+    question.url = "http://" + control + "/-/config";
+    question.body = configuration;
+    question.timeoutMs = 2'000;
+    return ask(question).status;
+}
+
+void platform_processes::await(const std::string &what, const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!condition()) {
+        ASSERT_LT(std::chrono::steady_clock::now(), end) << what;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+}
+
+} // namespace carawayloft::test_support
--- /dev/null
+++ b/tests/process/platform_processes.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "process/child.h"
+#include "process/http_call.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace carawayloft::test_support {
+
+/** Runs processes as the platform starts them, at loopback addresses of this test process alone. */
+class platform_processes : public ::testing::Test
+{
+protected:
+    platform_processes();
+    ~platform_processes() override;
+
+    /** The first three parts of every address, with the last dot. */
+    const std::string &net() const
+    {
+        return m_net;
+    }
+
+    /** Settings that all processes share; the first @p seeds control replicas are the seeds. */
+    std::string common(int seeds = 1) const;
+
+    /** Writes the settings of a control replica at the address that ends with @p host. */
+    void writeCore(const std::string &name, int host, int seeds = 1) const;
+
+    /** Where a control replica takes calls. */
+    std::string coreAddress(int host) const;
+
+    /** Value of a metric of the process at the address that ends with @p host; -1 without one. */
+    double metric(int host, const std::string &name) const;
+
+    void write(const std::string &name, const std::string &text) const;
+
+    /** Starts a process; @p first is "true" where the whole system starts for the first time. */
+    std::unique_ptr<child> start(const std::string &name, const std::string &first);
+
+    /** A configuration with one route to one plain service, and one client account. */
+    static std::string configuration(int version);
+
+    static http_answer get(const std::string &url);
+
+    /** Puts a configuration; the status, zero without an answer. */
+    static int put(const std::string &control, const std::string &configuration);
+
+    static void await(const std::string &what, const std::function<bool()> &condition);
+
+private:
+    std::string read(const std::string &name) const;
+
+    std::string m_net;
+    std::filesystem::path m_folder;
+};
+
+} // namespace carawayloft::test_support
