--- a/src/fleet_pipe/domain_pool.cpp
+++ b/src/fleet_pipe/domain_pool.cpp
@@ -63,9 +63,8 @@
 
 std::size_t domain_pool::held(const model_id &model) const
 {
-    const auto holdsFirst = [&](const spare_backend &each) {
-        return each.loaded.value().empty() ? !each.staged.empty() && each.staged.back() == model : each.loaded == model;
-    };
+    const auto holdsFirst
+        = [&](const spare_backend &each) { return each.loaded.value().empty() ? !each.staged.empty() && each.staged.back() == model : each.loaded == model; };
     return members(model) + countOf(m_preparing, model) + static_cast<std::size_t>(std::count_if(m_spares.begin(), m_spares.end(), holdsFirst));
 }
 
@@ -79,11 +78,8 @@
     if (ready(model.model) < model.hostsPerGroup) {
         return {};
     }
-    const auto order = [&](const spare_backend &each) {
-        return std::tuple(!each.canServe(model.model), each.loaded != model.model, versatility(each));
-    };
-    std::stable_sort(
-        m_spares.begin(), m_spares.end(), [&](const spare_backend &left, const spare_backend &right) { return order(left) < order(right); });
+    const auto order = [&](const spare_backend &each) { return std::tuple(!each.canServe(model.model), each.loaded != model.model, versatility(each)); };
+    std::stable_sort(m_spares.begin(), m_spares.end(), [&](const spare_backend &left, const spare_backend &right) { return order(left) < order(right); });
     const auto end = m_spares.begin() + static_cast<std::ptrdiff_t>(model.hostsPerGroup);
     std::vector<spare_backend> taken(m_spares.begin(), end);
     m_spares.erase(m_spares.begin(), end);
--- a/src/fleet_pipe/group_keeper_adoption.cpp
+++ b/src/fleet_pipe/group_keeper_adoption.cpp
@@ -98,7 +98,8 @@
         if (each.service != service || !each.engine) {
             continue;
         }
-        const auto found = std::find_if(each.engine->models.begin(), each.engine->models.end(), [&](const model_profile &profile) { return profile.model == model; });
+        const auto found
+            = std::find_if(each.engine->models.begin(), each.engine->models.end(), [&](const model_profile &profile) { return profile.model == model; });
         return found == each.engine->models.end() ? nullptr : &*found;
     }
     return nullptr;
--- a/src/fleet_pipe/group_keeper_weights.cpp
+++ b/src/fleet_pipe/group_keeper_weights.cpp
@@ -46,9 +46,8 @@
 void group_keeper::prepare(const served_service &service, domain_pool &pool, const domain_target &target)
 {
     const std::vector<model_profile> &models = service.engine->models;
-    const auto lacking = [&](const model_profile &model) {
-        return static_cast<std::ptrdiff_t>(target.at(model.model)) - static_cast<std::ptrdiff_t>(pool.held(model.model));
-    };
+    const auto lacking
+        = [&](const model_profile &model) { return static_cast<std::ptrdiff_t>(target.at(model.model)) - static_cast<std::ptrdiff_t>(pool.held(model.model)); };
     for (const spare_backend &each : pool.spares()) {
         if (!each.loaded.value().empty()) {
             continue;
@@ -109,8 +108,7 @@
     const bool keepsAll = spare.staged.size() < service.engine->modelsKept || (spare.staged.size() == 1 && spare.staged.front() == spare.loaded);
     const model_profile *best = nullptr;
     for (const model_profile &each : service.engine->models) {
-        if (keepsAll && !spare.canServe(each.model)
-            && (best == nullptr || value.onTime(each.model, fleet.groups) < value.onTime(best->model, fleet.groups))) {
+        if (keepsAll && !spare.canServe(each.model) && (best == nullptr || value.onTime(each.model, fleet.groups) < value.onTime(best->model, fleet.groups))) {
             best = &each;
         }
     }
