--- a/src/fleet_pipe/fleet_composition.cpp
+++ b/src/fleet_pipe/fleet_composition.cpp
@@ -1,6 +1,7 @@
 #include <carawayloft/fleet/fleet_composition.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace carawayloft {
 
@@ -102,7 +103,7 @@
             after.domainsWithSpares += serversIn(models, way) < total ? 1 : 0;
             return after;
         };
-        double bestValue = -1.0;
+        double bestValue = std::numeric_limits<double>::lowest();
         composition best;
         for (const composition &way : ways) {
             if (const double worth = value.of(with(way)); worth > bestValue) {
--- a/src/fleet_pipe/fleet_value.cpp
+++ b/src/fleet_pipe/fleet_value.cpp
@@ -8,6 +8,9 @@
 /** Share of the worst-served model in the value of a fleet. */
 static constexpr double worstModelShare = 0.3;
 
+/** Price of a model that is asked for and has no group, as a share of all work: every caller of it is refused. */
+static constexpr double unservedModelPrice = 1.0;
+
 /** Part of a group's value that a spare in its fabric domain saves when a member is lost. */
 static constexpr double spareShare = 0.5;
 
@@ -76,7 +79,11 @@
             greatestLoss = std::max(greatestLoss, now - onTime(without));
         }
     }
-    return now + spareShare * greatestLoss * static_cast<double>(fleet.domainsWithSpares);
+    const auto unserved = std::count_if(m_work.begin(), m_work.end(), [&](const auto &each) {
+        const auto held = fleet.groups.find(each.first);
+        return each.second > 0.0 && (held == fleet.groups.end() || held->second == 0);
+    });
+    return now + spareShare * greatestLoss * static_cast<double>(fleet.domainsWithSpares) - unservedModelPrice * m_total * static_cast<double>(unserved);
 }
 
 } // namespace carawayloft
--- a/tests/fleet/group_keeper_test.cpp
+++ b/tests/fleet/group_keeper_test.cpp
@@ -190,6 +190,69 @@
     EXPECT_EQ(fleet.open(smallModel).size(), 1U);
 }
 
+TEST(GroupKeeper, ANewLeaderGivesWorkToAHeadBeforeItsMembersHaveAnnouncedThemselves)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const engine_group group = fleet.open(largeModel).front();
+    for (auto &[id, engine] : fleet.engines) {
+        engine.reportsToControl = id == group.head();
+    }
+    fleet.registry = backend_registry();
+    fleet.lead(3);
+    fleet.settle(2);
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_EQ(fleet.open(largeModel).front().epoch, group.epoch);
+    for (auto &[id, engine] : fleet.engines) {
+        engine.reportsToControl = true;
+    }
+    fleet.settle(2);
+    EXPECT_EQ(fleet.open(largeModel).front().members, group.members);
+}
+
+TEST(GroupKeeper, ClosesAHeadWhoseMembersDoNotAnnounceThemselves)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const engine_group group = fleet.open(largeModel).front();
+    for (auto &[id, engine] : fleet.engines) {
+        engine.reportsToControl = id == group.head();
+    }
+    fleet.registry = backend_registry();
+    fleet.lead(3);
+    fleet.settle(15); // Longer than members have for it.
+    EXPECT_TRUE(fleet.open(largeModel).empty());
+    EXPECT_EQ(fleet.engines.at(group.head()).record.membership.state, membership_state::Ready);
+}
+
+TEST(GroupKeeper, FreesMembersOnceTheHeadAnswersThatItHasClosed)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const engine_group group = fleet.open(largeModel).front();
+    fleet.engines.at(group.head()).reportsToControl = false; // It obeys, and its announcements go astray.
+    fleet.lose(group.members.back());
+    fleet.look();
+    fleet.look();
+    const std::vector<engine_group> groups = fleet.keeper.groups();
+    EXPECT_TRUE(std::none_of(groups.begin(), groups.end(), [&](const engine_group &each) { return each.epoch == group.epoch; }));
+}
+
+TEST(GroupKeeper, StagesTheOtherModelOnSpares)
+{
+    engine_fleet fleet(1, 9, makeEngine(4, 4));
+    fleet.lead(2);
+    fleet.settle(60);
+    const auto versatile = std::count_if(fleet.engines.begin(), fleet.engines.end(), [](const auto &each) {
+        const backend_record &record = each.second.record;
+        return std::any_of(record.staged.begin(), record.staged.end(), [&](const model_id &model) { return model != record.loaded; });
+    });
+    EXPECT_GT(versatile, 0);
+}
+
 TEST(GroupKeeper, NeverLetsAMemberGoElsewhereWhileItsHeadServes)
 {
     EXPECT_TRUE(rc::check([] {
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -484,3 +484,58 @@
     ASSERT_EQ(calls.size(), 2U);
     EXPECT_EQ(calls.front().request, request_id(2));
 }
+
+/** A gateway that has just started. */
+class StartingGateway : public GatewayPipe
+{
+protected:
+    StartingGateway()
+    {
+        pipe = gateway_pipe({availability_zone_id("mid-a"), {0.2, 300.0, duration(10'000), 1.5, 5.0}, 1});
+        tick();
+    }
+
+    void findControl()
+    {
+        configure(makeFields());
+        control(publish_snapshot{fleet_snapshot{}});
+        publish_fleet view;
+        view.whole = true;
+        view.backends.push_back(makeBackend("p1", plainService));
+        control(view);
+        tick();
+        grant();
+    }
+};
+
+TEST_F(StartingGateway, ServesACallerThatCameBeforeControlWasFound)
+{
+    run(makeCall(1, "/records/x"));
+    EXPECT_TRUE(outputs.empty());
+    findControl();
+    pass(duration(20));
+    tick();
+    EXPECT_EQ(all<call_backend>().size(), 1U);
+}
+
+TEST_F(StartingGateway, RefusesThemOnceItShouldHaveFoundControl)
+{
+    run(makeCall(1, "/records/x"));
+    live(duration(1'520));
+    EXPECT_EQ(pipe.inFlight(), 0U);
+    run(makeCall(2, "/records/x"));
+    ASSERT_EQ(all<reject_caller>().size(), 1U);
+    EXPECT_EQ(all<reject_caller>().front().status, 503U);
+    EXPECT_EQ(all<reject_caller>().front().outcome, run_outcome::DidNotRun);
+}
+
+TEST_F(StartingGateway, ForgetsACallerThatLeavesMeanwhile)
+{
+    run(makeCall(1, "/records/x"));
+    run(caller_gone{request_id(1)});
+    EXPECT_EQ(pipe.inFlight(), 0U);
+    findControl();
+    pass(duration(20));
+    tick();
+    EXPECT_TRUE(all<call_backend>().empty());
+}
