Do not hold a long prompt to be late for its own length

Change: whether a request can be on time is judged by the wait and by a prompt of usual length at most. Test: ALongPromptIsAdmittedWhereAShortOneIs, which failed first.

--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -75,6 +75,7 @@
 std::optional<gateway_pipe::candidate> gateway_pipe::chooseGroup(const flow &each)
 {
     const engine_time timeToObjective = each.arrivedAt + each.route->objective - m_now;
+    const auto usualPrompt = static_cast<token_count>(each.service->engine->usualPromptTokens);
     std::vector<candidate> candidates;
     for (const auto &[epoch, group] : m_view.groups()) {
         group_watch *watch = watchOf(epoch);
@@ -86,7 +87,8 @@
         if (head == nullptr || !mayBeUsed(*head) || each.tried.contains(group.head())) {
             continue;
         }
-        const pass_forecast expected = watch->forecast(each.request.promptTokens, m_now);
+        // A long prompt is not held to be late for its own length, or the longest ones would hardly be served.
+        const pass_forecast expected = watch->forecast(std::min(each.request.promptTokens, usualPrompt), m_now);
         const bool late = !each.relayed && (each.returns || expected.firstEvent > timeToObjective);
         const bool full = expected.running >= watch->slots() * (late ? lateSlotShare : usedSlotShare);
         // The prompt itself does not count, or the longest ones would always wait.
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -485,6 +485,26 @@
     EXPECT_EQ(calls.front().request, request_id(2));
 }
 
+TEST_F(GatewayPipe, ALongPromptIsAdmittedWhereAShortOneIs)
+{
+    // Others have six of the eight places of each group, more than requests that are late anyway may take.
+    std::vector<group_load> others;
+    for (std::uint64_t epoch : {1, 2}) {
+        group_load load;
+        load.epoch = group_epoch(epoch);
+        load.running = 6;
+        others.push_back(load);
+    }
+    pass(duration(300));
+    tick();
+    control(gateway_grant{lastReport.round, revision(), duration(3'000), 2, others, {}});
+    caller_call call = makeCall(1, "/draft/x");
+    call.timeLimit = duration(5'000); // Its first try.
+    call.promptTokens = 20'000; // Reading it takes longer than the objective.
+    run(call);
+    EXPECT_EQ(all<call_backend>().size(), 1U);
+}
+
 /** A gateway that has just started. */
 class StartingGateway : public GatewayPipe
 {
