--- /dev/null
+++ b/include/carawayloft/core/http_status.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+/** HTTP status codes that decisions depend on (RFC 9110, RFC 6585). */
+namespace carawayloft::http_status {
+
+inline constexpr std::uint32_t ok = 200;
+inline constexpr std::uint32_t unauthorized = 401;
+inline constexpr std::uint32_t notFound = 404;
+inline constexpr std::uint32_t requestTimeout = 408;
+inline constexpr std::uint32_t misdirectedRequest = 421;
+inline constexpr std::uint32_t tooManyRequests = 429;
+inline constexpr std::uint32_t internalServerError = 500; /**< The first of those by which a server says that it failed. */
+inline constexpr std::uint32_t badGateway = 502;
+inline constexpr std::uint32_t serviceUnavailable = 503;
+inline constexpr std::uint32_t gatewayTimeout = 504;
+
+} // namespace carawayloft::http_status
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -104,7 +104,7 @@
     bool isStarting() const;
     void admitEarly();
     void admit(flow &each);
-    std::optional<error> identify(flow &each, std::uint32_t &status) const;
+    std::optional<error> identify(flow &each, std::uint32_t &status);
     const served_service *chooseService(const service_route &route, const service_configuration &configuration);
     void countAsked(const flow &each);
     void refuse(flow &each, std::uint32_t status, error why, run_outcome outcome, duration retryAfter);
@@ -115,6 +115,7 @@
     std::optional<candidate> choose(const flow &each);
     std::optional<candidate> chooseGroup(const flow &each);
     std::optional<candidate> chooseServer(const flow &each);
+    std::optional<candidate> firstThatBears(const flow &each, std::vector<candidate> candidates);
     bool mayBeUsed(const backend_view::backend &backend) const;
     void sendTo(flow &each, const candidate &target);
     void dispatchWaiting();
--- a/include/carawayloft/service/service_configuration.h
+++ b/include/carawayloft/service/service_configuration.h
@@ -58,7 +58,6 @@
 /** Published figures of the model engines of a service. */
 struct engine_profile {
     std::uint32_t slots = 1; /**< Requests that a group works on at once. */
-    std::uint64_t cacheTokens = 0; /**< Tokens that fit into a group's KV cache. */
     std::uint32_t stepsPerPass = 1;
     engine_time step{0}; /**< Of one token for every running request. */
     engine_time stepPerRequest{0}; /**< On top, for each running request. */
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -1,5 +1,6 @@
 #include <carawayloft/gateway/gateway_pipe.h>
 
+#include <carawayloft/core/http_status.h>
 #include <carawayloft/core/overloaded.h>
 
 #include <algorithm>
@@ -94,7 +95,7 @@
     const caller_call &in = each.request;
     std::uint32_t status = 0;
     if (const std::optional<error> failure = identify(each, status)) {
-        refuse(each, status, *failure, run_outcome::DidNotRun, status == 503 ? controlRetryAfter : duration(0));
+        refuse(each, status, *failure, run_outcome::DidNotRun, status == http_status::serviceUnavailable ? controlRetryAfter : duration(0));
         return;
     }
     const duration limit = in.timeLimit.count() > 0 ? std::min(in.timeLimit, each.route->timeLimit) : each.route->timeLimit;
@@ -110,16 +111,16 @@
 }
 
 /** Finds route, account and service; an error with the status to refuse with otherwise. */
-std::optional<error> gateway_pipe::identify(flow &each, std::uint32_t &status) const
+std::optional<error> gateway_pipe::identify(flow &each, std::uint32_t &status)
 {
-    status = 503;
+    status = http_status::serviceUnavailable;
     if (!m_routes.configuration()) {
         return error{error_kind::NotReady, "no configuration has come from control yet", "try again soon"};
     }
     each.configuration = m_routes.configuration();
     each.route = m_routes.find(each.request.host, each.request.path);
     if (each.route == nullptr) {
-        status = 404;
+        status = http_status::notFound;
         return error{error_kind::UnknownService, "no route leads from " + each.request.host + each.request.path, "check host and path"};
     }
     const bool keyed = each.configuration->hasAccounts() && !each.route->isPublic;
@@ -129,12 +130,12 @@
         }
         const keyed_account *account = m_routes.account(each.request.key);
         if (account == nullptr) {
-            status = 401;
+            status = http_status::unauthorized;
             return error{error_kind::Unauthorized, "the access key is missing or not known", "send a key of a client account"};
         }
         each.account = account->account;
     }
-    each.service = const_cast<gateway_pipe *>(this)->chooseService(*each.route, *each.configuration);
+    each.service = chooseService(*each.route, *each.configuration);
     if (each.service == nullptr) {
         return error{error_kind::UnknownService, "the route names no service that is declared", "correct the configuration"};
     }
@@ -243,14 +244,14 @@
     if (each.runs > 0) {
         const bool late = m_now >= each.deadline;
         refuse(each,
-               late ? 504 : 502,
+               late ? http_status::gatewayTimeout : http_status::badGateway,
                {error_kind::ConnectionFailed, "no whole answer came: " + each.lastFailure, "whether the request ran is not known"},
                run_outcome::Unknown,
                duration(0));
         return;
     }
     refuse(each,
-           503,
+           http_status::serviceUnavailable,
            {error_kind::Overloaded, each.lastFailure.empty() ? "no backend server is free" : each.lastFailure, "try again after the time stated"},
            run_outcome::DidNotRun,
            repairRetryAfter);
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -1,5 +1,7 @@
 #include <carawayloft/gateway/gateway_pipe.h>
 
+#include <carawayloft/core/http_status.h>
+
 #include <algorithm>
 
 namespace carawayloft {
@@ -37,10 +39,6 @@
 static constexpr double lateSlotShare = 0.7;
 static constexpr double latePassShare = 0.35;
 
-/** Statuses by which a server says that it cannot do it now, or failed. */
-static constexpr std::uint32_t firstServerError = 500;
-static constexpr std::uint32_t ok = 200;
-
 bool gateway_pipe::mayBeUsed(const backend_view::backend &backend) const
 {
     return backend.record.state == backend_state::Ready && m_fleet.state().acceptsWork(backend.record.zone);
@@ -99,17 +97,7 @@
         const double zone = head->record.zone == m_options.zone ? 0.0 : otherZoneMs;
         candidates.push_back({head, epoch, expected.firstEvent.count() + zone, expected.running});
     }
-    std::sort(candidates.begin(), candidates.end(), [](const candidate &left, const candidate &right) { return left.cost < right.cost; });
-    for (const candidate &target : candidates) {
-        const group_watch &watch = *watchOf(target.group);
-        const bool cold = m_now < target.backend->coldUntil;
-        // What others have running is about what they send in a second; right after the start it says nothing.
-        const std::optional<double> others = cold || watch.age(m_now) < settleTime ? std::nullopt : std::optional<double>(watch.othersRunning());
-        if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, others, m_now)) {
-            return target;
-        }
-    }
-    return std::nullopt;
+    return firstThatBears(each, std::move(candidates));
 }
 
 /** The plain server with the fewest requests of this gateway, where failures count as requests. */
@@ -127,10 +115,21 @@
         const double drawn = std::uniform_real_distribution<double>(0.0, 0.5)(m_random);
         candidates.push_back({&backend, {}, watch.running + failurePrice * watch.failures + avoided + tried + zone + drawn, watch.running});
     }
+    return firstThatBears(each, std::move(candidates));
+}
+
+/** The cheapest candidate whose bound on sends leaves room for one more; it is taken. */
+std::optional<gateway_pipe::candidate> gateway_pipe::firstThatBears(const flow &each, std::vector<candidate> candidates)
+{
     std::sort(candidates.begin(), candidates.end(), [](const candidate &left, const candidate &right) { return left.cost < right.cost; });
     for (const candidate &target : candidates) {
         const bool cold = m_now < target.backend->coldUntil;
-        if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, std::nullopt, m_now)) {
+        std::optional<double> others;
+        // What others have running is about what they send in a second; right after the start it says nothing.
+        if (const group_watch *watch = watchOf(target.group); watch != nullptr && !cold && watch->age(m_now) >= settleTime) {
+            others = watch->othersRunning();
+        }
+        if (m_limits.takeColdSend(target.backend->record.backend, each.service->coldRequestsPerSecond, cold, others, m_now)) {
             return target;
         }
     }
@@ -235,7 +234,8 @@
 /** Whether callers take the status as a promise that the request has not run. */
 static bool promisesNotRun(std::uint32_t status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == http_status::requestTimeout || status == http_status::misdirectedRequest || status == http_status::tooManyRequests
+           || status == http_status::serviceUnavailable;
 }
 
 void gateway_pipe::take(const backend_answered &in)
@@ -258,20 +258,20 @@
         callFailed(*each, true, "the server answered with status " + std::to_string(in.status) + " without saying that it did not run the request");
         return;
     }
-    const bool serverFailed = in.status >= firstServerError;
+    const bool serverFailed = in.status >= http_status::internalServerError;
     if (serverFailed && each->route->mayRepeat() && each->runs < each->route->attempts && each->sends < maxSends) {
         emit(drop_call{in.call});
         callFailed(*each, true, "the server answered with status " + std::to_string(in.status));
         return;
     }
-    if (each->relayed && (in.status != ok || !in.isStream)) {
+    if (each->relayed && (in.status != http_status::ok || !in.isStream)) {
         emit(drop_call{in.call});
         callFailed(*each, true, "the server did not go on with the stream");
         return;
     }
     each->headCame = true;
     each->status = in.status;
-    each->streams = in.isStream && in.status == ok;
+    each->streams = in.isStream && in.status == http_status::ok;
     if (each->streams && !each->relayed) {
         each->relayed = true;
         each->relayedAt = m_now;
@@ -333,7 +333,7 @@
         callFailed(*each, true, "the stream ended within an event");
         return;
     }
-    noteOutcome(*each, each->status >= firstServerError);
+    noteOutcome(*each, each->status >= http_status::internalServerError);
     const request_id request = each->request.request;
     if (each->streams) {
         emit(finish_answer{request});
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -170,7 +170,7 @@
             m_requests.erase(id);
         }
     });
-    m_requests.emplace(id, open_request{std::move(request), std::move(exchange), call.name, false});
+    m_requests.emplace(id, open_request{std::move(request), std::move(exchange), call.name});
     run(call);
 }
 
@@ -266,7 +266,6 @@
     const auto found = m_requests.find(out.request);
     const auto call = m_calls.find(out.call);
     if (found != m_requests.end() && call != m_calls.end()) {
-        found->second.streaming = true;
         found->second.exchange->startStream(answerHead(call->second));
     }
 }
--- a/src/tasks/gateway_task.h
+++ b/src/tasks/gateway_task.h
@@ -38,7 +38,6 @@
         http_request request;
         std::shared_ptr<http_exchange> exchange;
         std::string name; /**< The caller's own id of the request. */
-        bool streaming = false;
     };
     /** One call to a backend server. */
     struct open_call {
