Tell a joining replica where the leader is

Cause: a replica that joins asks everybody whom its settings name, and only the leader lets it in. A replacement whose seeds are all followers, or gone, was asked for nothing more: it never became a member, while the machines that count for the loss of two took it for one. The final fault then left two of five voters.

Change: a replica that gets a request to join and knows a live leader answers with the leader's address; the joiner asks there. Test PlatformCore.AReplacementThatKnowsOnlyASeedFindsALeaderThatIsNone, which failed first.

--- a/include/carawayloft/messages/control_messages.h
+++ b/include/carawayloft/messages/control_messages.h
@@ -134,7 +134,7 @@
     }
 };
 
-/** A replica outside the log's membership asks to be let in. */
+/** A replica outside the log's membership asks to be let in; one that cannot let it in answers with the leader. */
 struct join_request {
     log_member member;
 
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -138,11 +138,21 @@
     } else if (link) {
         if (const auto *join = std::get_if<join_request>(&message)) {
             addReplica({numberOf(join->member.replica), join->member.frames, join->member.http, join->member.zone});
+            introduceLeader(join->member);
         }
         run(link_message{m_links.idOf(link), std::move(message)});
     }
 }
 
+/** Only the leader lets a replica in, and one that asks may know just the seeds: it learns where the leader is. */
+void control_task::introduceLeader(const log_member &joining)
+{
+    const log_member *leader = m_pipe->log().liveLeader(monotonicNow());
+    if (leader != nullptr && leader->replica != m_self && leader->replica != joining.replica) {
+        m_peers.send(joining.frames, join_request{*leader});
+    }
+}
+
 void control_task::run(const order_pipe_input &in)
 {
     if (m_failed) {
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -65,6 +65,7 @@
     void take(const replicas_learned &in);
     void addReplica(const control_peer &replica);
     void learnMembers();
+    void introduceLeader(const log_member &joining);
 
     /** Whether this replica's log has seen an election, or came in later. */
     bool isFormed() const;
--- a/tests/process/platform_core_test.cpp
+++ b/tests/process/platform_core_test.cpp
@@ -78,3 +78,14 @@
     m_processes.back()->kill();
     await("it counts for a majority", [this] { return accepted(configuration(3)); });
 }
+
+TEST_F(PlatformCore, AReplacementThatKnowsOnlyASeedFindsALeaderThatIsNone)
+{
+    m_processes.front()->kill();
+    await("the others go on", [this] { return accepted(configuration(2)); });
+    startReplica(1, "false");
+    await("the seed follows", [this] { return metric(1, "carawayloft_log_index") == metric(2, "carawayloft_log_index"); });
+    writeCore(nameOf(4), 4);
+    const std::unique_ptr<child> replacement = start(nameOf(4), "false");
+    await("the replacement is part of the log", [this] { return metric(4, "carawayloft_log_voters") >= 1; });
+}
