--- a/tests/fleet/group_keeper_test.cpp
+++ b/tests/fleet/group_keeper_test.cpp
@@ -190,9 +190,9 @@
     EXPECT_EQ(fleet.open(smallModel).size(), 1U);
 }
 
-TEST(GroupKeeper, ANewLeaderGivesWorkToAHeadBeforeItsMembersHaveAnnouncedThemselves)
+/** A group that serves when a new leader begins, to which of its members the head alone announces itself. */
+static engine_group takenOverFromItsHead(engine_fleet &fleet)
 {
-    engine_fleet fleet(1, 4, makeEngine(3, 4));
     fleet.lead(2);
     fleet.settle(40);
     const engine_group group = fleet.open(largeModel).front();
@@ -201,6 +201,13 @@
     }
     fleet.registry = backend_registry();
     fleet.lead(3);
+    return group;
+}
+
+TEST(GroupKeeper, ANewLeaderGivesWorkToAHeadBeforeItsMembersHaveAnnouncedThemselves)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    const engine_group group = takenOverFromItsHead(fleet);
     fleet.settle(2);
     ASSERT_EQ(fleet.open(largeModel).size(), 1U);
     EXPECT_EQ(fleet.open(largeModel).front().epoch, group.epoch);
@@ -214,14 +221,7 @@
 TEST(GroupKeeper, ClosesAHeadWhoseMembersDoNotAnnounceThemselves)
 {
     engine_fleet fleet(1, 4, makeEngine(3, 4));
-    fleet.lead(2);
-    fleet.settle(40);
-    const engine_group group = fleet.open(largeModel).front();
-    for (auto &[id, engine] : fleet.engines) {
-        engine.reportsToControl = id == group.head();
-    }
-    fleet.registry = backend_registry();
-    fleet.lead(3);
+    const engine_group group = takenOverFromItsHead(fleet);
     fleet.settle(15); // Longer than members have for it.
     EXPECT_TRUE(fleet.open(largeModel).empty());
     EXPECT_EQ(fleet.engines.at(group.head()).record.membership.state, membership_state::Ready);
