Log and count what the allocation expects of each model, and forecasts beside first events

Nothing told whether the allocation planned too few groups, or planned them and they were lost, nor whether gateways knew that what they sent would be late. model_assessed gives the demand for a model, its groups, the planned ones and the share expected on time; request_ended carries model, objective and forecast; both also stand in the metrics by model.

--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -65,6 +65,7 @@
     void forward(const engine_order_requested &out);
     void forward(const group_changed &out);
     void forward(const group_retired &out);
+    void forward(const model_assessed &out);
     void publish(publish_fleet change);
     backend_record currentRecord(const backend_id &backend, time_point now) const;
     void startProbe(const backend_id &backend);
--- a/include/carawayloft/fleet/fleet_pipe_messages.h
+++ b/include/carawayloft/fleet/fleet_pipe_messages.h
@@ -107,7 +107,14 @@
     const char *reason = "";
 };
 
-using fleet_pipe_output
-    = std::variant<publish_to_gateway, grant_to_gateway, mirror_fleet, send_engine_order, probe_backend, log_backend_change, group_changed, group_retired>;
+using fleet_pipe_output = std::variant<publish_to_gateway,
+                                       grant_to_gateway,
+                                       mirror_fleet,
+                                       send_engine_order,
+                                       probe_backend,
+                                       log_backend_change,
+                                       group_changed,
+                                       group_retired,
+                                       model_assessed>;
 
 } // namespace carawayloft
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -63,7 +63,16 @@
     const char *reason = "";
 };
 
-using group_controller_output = std::variant<engine_order_requested, group_changed, group_retired>;
+/** What the allocation assumes and plans for one model. */
+struct model_assessed {
+    model_id model;
+    double requestsPerSecond = 0.0; /**< Demand by callers. */
+    std::size_t groups = 0; /**< Groups in any phase but closing. */
+    std::size_t plannedGroups = 0;
+    double onTimeShare = 0.0; /**< Fraction of the demand that the groups are expected to serve in time. */
+};
+
+using group_controller_output = std::variant<engine_order_requested, group_changed, group_retired, model_assessed>;
 
 /**
  * Forms, opens, closes and repairs groups of engines. The engines hold the membership, so a new leader
@@ -165,6 +174,10 @@
     void addUpcomingSpares(const service_settings &service, domain_pools &pools) const;
     fleet_utility makeUtility(const service_settings &service) const;
     group_counts countGroups(const service_settings &service) const;
+    void assessModels(const service_settings &service,
+                      const fleet_utility &utility,
+                      const group_counts &groups,
+                      const std::map<fabric_domain_id, domain_allocation> &targets);
 
     // Weights.
     void assignStandbys(const service_settings &service, domain_pool &pool, const domain_allocation &target);
@@ -206,6 +219,8 @@
     time_point m_rebalancedAt;
     std::optional<group_epoch> m_surplusGroup; /**< Group whose members have more utility in other groups. */
     time_point m_surplusSince;
+    std::map<model_id, model_assessed> m_assessed; /**< Last reported. */
+    std::map<model_id, time_point> m_assessedAt;
     std::deque<time_point> m_recentLoads; /**< Starts of loads within the rate window. */
 };
 
--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -135,7 +135,10 @@
     std::string name; /**< Request id that the caller assigned to this attempt. */
     std::uint32_t status = 0;
     std::uint32_t calls = 0;
+    model_id model; /**< Empty for services without models. */
     token_count promptTokens = 0;
+    duration objective{0}; /**< Of the route. */
+    duration forecast{0}; /**< Expected time to the first event, from the last send; zero without groups. */
     duration firstByte{0};
     duration longestPause{0}; /**< Longest time between two events of a stream. */
     duration total{0};
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -75,6 +75,7 @@
         bool headRelayed = false; /**< The caller has been sent the head of a stream. */
         bool eventRelayed = false; /**< The caller has been sent an event. */
         time_point lastRelayedAt; /**< Last event sent to the caller, or the head. */
+        duration forecast{0}; /**< Expected time to the first event when the request was last sent to a group. */
         duration firstByte{0};
         duration longestPause{0}; /**< Between relayed events. */
         stream_splice splice;
@@ -96,6 +97,7 @@
         group_epoch group;
         double cost = 0.0;
         std::uint32_t running = 0;
+        duration forecast{0}; /**< Expected time to the first event. */
     };
 
     // Requests of callers.
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -97,6 +97,8 @@
         return {"backend_probed", severity::Info};
     case event_number::FleetLed:
         return {"fleet_led", severity::Info};
+    case event_number::ModelAssessed:
+        return {"model_assessed", severity::Info};
     case event_number::RoleChanged:
         return {"role_changed", severity::Info};
     case event_number::ChangeAccepted:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -52,6 +52,7 @@
     EngineOrderAnswered = 324,
     BackendProbed = 325,
     FleetLed = 326,
+    ModelAssessed = 327,
     RoleChanged = 400,
     ChangeAccepted = 401,
     ChangeRefused = 402,
--- a/src/ends/metrics.cpp
+++ b/src/ends/metrics.cpp
@@ -33,9 +33,9 @@
     m_gauges[name][labels] = value;
 }
 
-void metrics::observe(const std::string &name, std::chrono::nanoseconds latency)
+void metrics::observe(const std::string &name, const std::string &labels, std::chrono::nanoseconds latency)
 {
-    auto &histogram = m_histograms[name];
+    auto &histogram = m_histograms[name][labels];
     if (!histogram) {
         histogram = std::make_unique<latency_histogram>();
     }
@@ -58,6 +58,21 @@
     }
 }
 
+template<class Histogram>
+static void renderHistogram(std::ostream &out, const std::string &name, const std::string &labels, const Histogram &histogram)
+{
+    const std::string prefix = labels.empty() ? std::string() : labels + ",";
+    const std::string suffix = labels.empty() ? std::string() : "{" + labels + "}";
+    double below = 0;
+    for (const auto &bucket : boost::histogram::indexed(histogram.buckets)) {
+        below += static_cast<double>(*bucket);
+        out << name << "_bucket{" << prefix << "le=\"" << bucket.bin().upper() << "\"} " << below << '\n';
+    }
+    out << name << "_bucket{" << prefix << "le=\"+Inf\"} " << histogram.total << '\n'
+        << name << "_sum" << suffix << ' ' << histogram.sum << '\n'
+        << name << "_count" << suffix << ' ' << histogram.total << '\n';
+}
+
 std::string metrics::render() const
 {
     std::ostringstream out;
@@ -67,16 +82,11 @@
     for (const auto &[name, series] : m_gauges) {
         renderSeries(out, "gauge", name, series);
     }
-    for (const auto &[name, histogram] : m_histograms) {
+    for (const auto &[name, series] : m_histograms) {
         out << "# TYPE " << name << " histogram\n";
-        double below = 0;
-        for (const auto &bucket : boost::histogram::indexed(histogram->buckets)) {
-            below += static_cast<double>(*bucket);
-            out << name << "_bucket{le=\"" << bucket.bin().upper() << "\"} " << below << '\n';
+        for (const auto &[labels, histogram] : series) {
+            renderHistogram(out, name, labels, *histogram);
         }
-        out << name << "_bucket{le=\"+Inf\"} " << histogram->total << '\n'
-            << name << "_sum " << histogram->sum << '\n'
-            << name << "_count " << histogram->total << '\n';
     }
     return out.str();
 }
--- a/src/ends/metrics.h
+++ b/src/ends/metrics.h
@@ -20,8 +20,8 @@
 
     void setGauge(const std::string &name, const std::string &labels, double value);
 
-    /** Adds a latency to a histogram. */
-    void observe(const std::string &name, std::chrono::nanoseconds latency);
+    /** Adds a latency to a histogram; @p labels as for counters. */
+    void observe(const std::string &name, const std::string &labels, std::chrono::nanoseconds latency);
 
     std::string render() const;
 
@@ -30,7 +30,7 @@
 
     std::map<std::string, std::map<std::string, std::uint64_t>> m_counters;
     std::map<std::string, std::map<std::string, double>> m_gauges;
-    std::map<std::string, std::unique_ptr<latency_histogram>> m_histograms;
+    std::map<std::string, std::map<std::string, std::unique_ptr<latency_histogram>>> m_histograms;
 };
 
 } // namespace carawayloft
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -415,4 +415,9 @@
     publish(std::move(change));
 }
 
+void fleet_pipe::forward(const model_assessed &out)
+{
+    m_out.emplace_back(out);
+}
+
 } // namespace carawayloft
--- a/src/fleet_pipe/group_controller_formation.cpp
+++ b/src/fleet_pipe/group_controller_formation.cpp
@@ -29,6 +29,9 @@
 /** Standbys that will be ready within this time count as spares. */
 static constexpr duration upcomingSpareWindow{2'500};
 
+/** Maximum time between two reports of the state of a model. */
+static constexpr duration assessmentInterval{5'000};
+
 /** Minimum weight of a model's configured traffic share, even when no traffic is observed. */
 static constexpr double minPriorWeight = 0.05;
 
@@ -155,12 +158,40 @@
     }
     rebalance(service, utility, fleet, pools);
     const std::map<fabric_domain_id, domain_allocation> targets = allocateModels(utility, sizes);
+    assessModels(service, utility, fleet.groups, targets);
     for (auto &[domain, pool] : pools) {
         assignStandbys(service, pool, targets.at(domain));
     }
     stageAdditionalModels(service, utility, fleet, pools);
 }
 
+/** Reports the state of each model when its number of groups or the plan for it changes, and at least every assessmentInterval. */
+void group_controller::assessModels(const service_settings &service,
+                                    const fleet_utility &utility,
+                                    const group_counts &groups,
+                                    const std::map<fabric_domain_id, domain_allocation> &targets)
+{
+    for (const model_profile &each : service.engine->models) {
+        model_assessed now{each.model, 0.0, 0, 0, utility.onTimeFraction(each.model, groups)};
+        if (const auto found = groups.find(each.model); found != groups.end()) {
+            now.groups = found->second;
+        }
+        if (const auto found = m_context->modelTraffic.find(each.model); found != m_context->modelTraffic.end()) {
+            now.requestsPerSecond = found->second.requestsPerSecond;
+        }
+        for (const auto &[domain, target] : targets) {
+            now.plannedGroups += target.at(each.model) / each.hostsPerGroup;
+        }
+        const auto last = m_assessed.find(each.model);
+        const bool changed = last == m_assessed.end() || last->second.groups != now.groups || last->second.plannedGroups != now.plannedGroups;
+        if (changed || m_now >= m_assessedAt[each.model] + assessmentInterval) {
+            m_assessed[each.model] = now;
+            m_assessedAt[each.model] = m_now;
+            m_out.emplace_back(now);
+        }
+    }
+}
+
 void group_controller::formGroup(const service_settings &service, const planned_group &chosen)
 {
     const model_profile &model = *findProfile(service.service, chosen.model);
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -185,8 +185,18 @@
     const auto found = m_activeRequests.find(request);
     const request_context &context = found->second;
     const auto total = std::chrono::duration_cast<duration>(m_now - context.arrivedAt);
-    emit(request_ended{
-        request, context.request.name, context.status, context.sendCount, context.request.promptTokens, context.firstByte, context.longestPause, total, whole});
+    emit(request_ended{request,
+                       context.request.name,
+                       context.status,
+                       context.sendCount,
+                       context.request.model,
+                       context.request.promptTokens,
+                       context.route == nullptr ? duration(0) : context.route->objective,
+                       context.forecast,
+                       context.firstByte,
+                       context.longestPause,
+                       total,
+                       whole});
     m_waiting.erase(request);
     m_deferred.erase(request);
     m_activeRequests.erase(found);
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -95,7 +95,8 @@
             continue;
         }
         const double zoneCost = head->record.zone == m_options.zone ? 0.0 : otherZoneCostMs;
-        candidates.push_back({head, epoch, forecast.timeToFirstEvent.count() + zoneCost, forecast.running});
+        candidates.push_back(
+            {head, epoch, forecast.timeToFirstEvent.count() + zoneCost, forecast.running, std::chrono::ceil<duration>(forecast.timeToFirstEvent)});
     }
     return takeCheapest(context, std::move(candidates));
 }
@@ -113,7 +114,7 @@
         const double triedCost = context.triedBackends.contains(id) ? failureCost : 0.0;
         const double zoneCost = backend.record.zone == m_options.zone ? 0.0 : otherZoneCostRequests;
         const double jitter = std::uniform_real_distribution<double>(0.0, 0.5)(m_random);
-        candidates.push_back({&backend, {}, stats.running + failureCost * stats.failureRate + avoidedCost + triedCost + zoneCost + jitter, stats.running});
+        candidates.push_back({&backend, {}, stats.running + failureCost * stats.failureRate + avoidedCost + triedCost + zoneCost + jitter, stats.running, {}});
     }
     return takeCheapest(context, std::move(candidates));
 }
@@ -142,6 +143,7 @@
     context.call = m_lastCall;
     context.backend = target.backend->record.backend;
     context.group = target.group;
+    context.forecast = target.forecast;
     context.sentAt = m_now;
     context.lastByteAt = m_now;
     context.headReceived = false;
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -188,7 +188,7 @@
             stopOnFailure(errorOf(stored));
             return;
         }
-        m_metrics.observe("carawayloft_log_sync_seconds", monotonicNow() - syncStart);
+        m_metrics.observe("carawayloft_log_sync_seconds", {}, monotonicNow() - syncStart);
     }
     for (const control_pipe_output &each : outputs) {
         std::visit([this](const auto &out) { execute(out); }, each);
@@ -286,7 +286,7 @@
 void control_task::execute(const change_in_force &out)
 {
     logEvent(event_number::RevisionInForce, {{"revision", out.at}, {"after_ms", out.after.count()}, {"subscribers", out.subscribers}});
-    m_metrics.observe("carawayloft_in_force_seconds", out.after);
+    m_metrics.observe("carawayloft_in_force_seconds", {}, out.after);
 }
 
 void control_task::execute(const placement_proposed &out)
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -105,6 +105,7 @@
     void execute(const log_backend_change &out);
     void execute(const group_changed &out);
     void execute(const group_retired &out);
+    void execute(const model_assessed &out);
     void updateFleetLeadership();
     void updateFleetConfiguration();
     void handleGatewayReport(link_id gateway, const gateway_report &report);
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -119,6 +119,22 @@
     logEvent(event_number::EngineGroupRetired, {{"group", out.epoch}, {"reason", out.reason}});
 }
 
+void control_task::execute(const model_assessed &out)
+{
+    static constexpr double thousand = 1'000.0;
+    logEvent(event_number::ModelAssessed,
+             {{"model", out.model},
+              {"requests_per_second", static_cast<std::uint64_t>(out.requestsPerSecond)},
+              {"groups", out.groups},
+              {"planned", out.plannedGroups},
+              {"on_time_per_thousand", static_cast<std::uint64_t>(thousand * out.onTimeShare)}});
+    const std::string label = "model=\"" + out.model.value() + "\"";
+    m_metrics.setGauge("carawayloft_model_requests_per_second", label, out.requestsPerSecond);
+    m_metrics.setGauge("carawayloft_model_groups", label, static_cast<double>(out.groups));
+    m_metrics.setGauge("carawayloft_model_groups_planned", label, static_cast<double>(out.plannedGroups));
+    m_metrics.setGauge("carawayloft_model_on_time_expected", label, out.onTimeShare);
+}
+
 /** Starts to lead the fleet once the leader lease rules out another leader, and stops when this replica is no longer the log's leader. */
 void control_task::updateFleetLeadership()
 {
--- a/src/tasks/entry_task.cpp
+++ b/src/tasks/entry_task.cpp
@@ -409,8 +409,8 @@
 
 void entry_task::execute(const request_latency_measured &out)
 {
-    m_metrics.observe("carawayloft_first_token_seconds", out.firstToken);
-    m_metrics.observe("carawayloft_request_seconds", out.total);
+    m_metrics.observe("carawayloft_first_token_seconds", {}, out.firstToken);
+    m_metrics.observe("carawayloft_request_seconds", {}, out.total);
 }
 
 } // namespace carawayloft
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -369,14 +369,24 @@
              {{"request", out.name},
               {"status", out.status},
               {"calls", out.calls},
+              {"model", out.model},
               {"prompt_tokens", out.promptTokens},
+              {"objective_ms", out.objective.count()},
+              {"forecast_ms", out.forecast.count()},
               {"first_byte_ms", out.firstByte.count()},
               {"pause_ms", out.longestPause.count()},
               {"total_ms", out.total.count()},
               {"whole", out.whole ? 1 : 0}});
     m_metrics.count("carawayloft_requests_total", "status=\"" + std::to_string(out.status) + "\",whole=\"" + (out.whole ? "yes" : "no") + "\"");
-    m_metrics.observe("carawayloft_first_byte_seconds", out.firstByte);
-    m_metrics.observe("carawayloft_request_seconds", out.total);
+    m_metrics.observe("carawayloft_first_byte_seconds", {}, out.firstByte);
+    m_metrics.observe("carawayloft_request_seconds", {}, out.total);
+    if (!out.model.value().empty()) {
+        const std::string label = "model=\"" + out.model.value() + "\"";
+        const bool onTime = out.whole && out.firstByte <= out.objective;
+        m_metrics.count("carawayloft_model_requests_total", label + ",first_event=\"" + (onTime ? "on_time" : "late_or_none") + "\"");
+        m_metrics.observe("carawayloft_model_first_event_seconds", label, out.firstByte);
+        m_metrics.observe("carawayloft_model_first_event_forecast_seconds", label, out.forecast);
+    }
 }
 
 void gateway_task::execute(const serving_lease_changed &out)
--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -253,6 +253,21 @@
     EXPECT_GT(versatile, 0);
 }
 
+TEST(GroupController, ReportsDemandAndGroupsOfEveryModel)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.asked[largeModel] = {largeModel, 5.0, 1'000.0, 100.0, engine_duration(300)};
+    fleet.lead(2);
+    fleet.settle(40);
+    EXPECT_EQ(fleet.assessed.at(largeModel).groups, fleet.open(largeModel).size());
+    EXPECT_DOUBLE_EQ(fleet.assessed.at(largeModel).requestsPerSecond, 5.0);
+    EXPECT_GT(fleet.assessed.at(largeModel).onTimeShare, 0.0);
+    fleet.lose(backend_id("e1"));
+    fleet.lose(backend_id("e2"));
+    fleet.settle(4);
+    EXPECT_EQ(fleet.assessed.at(largeModel).groups, 0U);
+}
+
 TEST(GroupController, NeverReassignsAMemberWhileItsHeadServes)
 {
     EXPECT_TRUE(rc::check([] {
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -102,6 +102,7 @@
     time_point now{std::chrono::hours(1)};
     std::set<backend_id> deaf; /**< Carry orders out without an answer. */
     std::size_t orders = 0;
+    std::map<model_id, model_assessed> assessed; /**< Last report of each model. */
 
 private:
     void run(const group_controller_input &in)
@@ -110,6 +111,8 @@
             if (const auto *order = std::get_if<engine_order_requested>(&each)) {
                 ++orders;
                 carryOut(*order);
+            } else if (const auto *report = std::get_if<model_assessed>(&each)) {
+                assessed[report->model] = *report;
             }
         }
     }
