--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -241,6 +241,22 @@
     EXPECT_TRUE(std::none_of(groups.begin(), groups.end(), [&](const engine_group &each) { return each.epoch == group.epoch; }));
 }
 
+TEST(GroupController, FormsTheLastLargeGroupOfADomainAgainFromMembersOfSmallOnes)
+{
+    engine_fleet fleet(2, 11, makeEngine(6, 2));
+    fleet.stagingTime = duration(16'000);
+    fleet.asked
+        = {{largeModel, {largeModel, 8.0, 1'000.0, 100.0, engine_duration(300)}}, {smallModel, {smallModel, 8.0, 1'000.0, 100.0, engine_duration(300)}}};
+    fleet.lead(2);
+    fleet.settle(200);
+    ASSERT_EQ(fleet.open(largeModel).size(), 2U);
+    const std::vector<backend_id> members = fleet.open(largeModel).front().members;
+    fleet.lose(members[1]);
+    fleet.lose(members[2]); // One more than the domain has spares.
+    fleet.settle(100); // 20 s, longer than a load.
+    EXPECT_EQ(fleet.open(largeModel).size(), 2U);
+}
+
 TEST(GroupController, StagesTheOtherModelOnSpares)
 {
     engine_fleet fleet(1, 9, makeEngine(4, 4));
--- a/tests/gateway/group_monitor_test.cpp
+++ b/tests/gateway/group_monitor_test.cpp
@@ -58,6 +58,17 @@
     EXPECT_EQ(monitor.forecast(100, now).running, 1U); // Reports would cover that load by now.
 }
 
+TEST_F(GroupMonitor, TheForecastCoversTheBacklogOfOtherGateways)
+{
+    group_load others;
+    others.epoch = group_epoch(1);
+    others.running = 20;
+    others.prefillTokens = 40'000;
+    others.tokensPerSecond = 45'000;
+    monitor.updateOtherGateways(others, 3, now);
+    EXPECT_GT(monitor.forecast(100, now).timeToFirstEvent, engine_duration(800)); // 50,000 tokens a second are read.
+}
+
 TEST_F(GroupMonitor, EveryProbeOfASilentGroupDelaysTheNextOne)
 {
     monitor.addCall(backend_call_id(1), 100, now);
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -17,6 +17,8 @@
     group_epoch highestEpoch;
     bool alive = true;
     bool reportsToControl = true;
+    std::optional<model_id> staging; /**< Loads to its host until stagedAt. */
+    time_point stagedAt;
 };
 
 /** A group keeper with its registry before a fleet of engines. Checks what must always hold at each order. */
@@ -65,6 +67,9 @@
     void report()
     {
         for (auto &[id, engine] : engines) {
+            if (engine.staging && now >= engine.stagedAt) {
+                engine.record.staged = {*std::exchange(engine.staging, std::nullopt)};
+            }
             if (engine.alive && engine.reportsToControl) {
                 ++engine.record.announcement;
                 registry.step(backend_check_in{engine.record}, now);
@@ -101,6 +106,7 @@
     fleet_traffic asked; /**< By callers; empty for none told. */
     time_point now{std::chrono::hours(1)};
     std::set<backend_id> deaf; /**< Carry orders out without an answer. */
+    duration stagingTime{0}; /**< To load a model to a host. */
     std::size_t orders = 0;
     std::map<model_id, model_assessed> assessed; /**< Last report of each model. */
 
@@ -147,9 +153,10 @@
         return order_outcome::Begun;
     }
 
-    static order_outcome obey(fake_engine_state &engine, const stage_model &order)
+    order_outcome obey(fake_engine_state &engine, const stage_model &order)
     {
-        engine.record.staged = {order.model};
+        engine.staging = order.model;
+        engine.stagedAt = now + stagingTime;
         return order_outcome::Begun;
     }
 
