Forecast the first event with the prompts that wait at the group

Cause: the forecast counted the prompts of other gateways as what they send in 60 ms, a fixed length of an iteration, and left out those that control reports as unread. Under load an iteration lasts up to 340 ms, and a backlog of several iterations waited behind it. The slowdown of a group was the mean of ratios cut off at one, which is above one for a group at full speed.

Now an iteration's length follows from what arrives in it, a reported backlog counts less what the group has read since, prompts beyond what an iteration reads wait for the next ones, and the age of the iteration is only taken from silence if an answer for this gateway runs there. The slowdown is the ratio of two means.

GroupMonitor.TheForecastCoversTheBacklogOfOtherGateways failed before and passes.

--- a/include/carawayloft/fleet/engine_timing.h
+++ b/include/carawayloft/fleet/engine_timing.h
@@ -16,6 +16,9 @@
  */
 engine_duration iterationTime(const engine_profile &engine, const model_profile &model, const engine_load &load);
 
+/** Most prompt tokens that one scheduler iteration reads. */
+double prefillTokensPerIteration(const engine_profile &engine);
+
 /** Estimated prefill time of a prompt of this many tokens. */
 engine_duration prefillTime(const engine_profile &engine, const model_profile &model, double tokens);
 
--- a/include/carawayloft/gateway/group_monitor.h
+++ b/include/carawayloft/gateway/group_monitor.h
@@ -81,6 +81,12 @@
     }
     group_load ownLoad(group_epoch epoch, time_point now) const;
 
+    /** Factor by which the group takes longer than its engines' published figures. */
+    double slowdown() const
+    {
+        return m_slowdown;
+    }
+
     std::uint32_t slots() const
     {
         return m_engine.slots;
@@ -93,12 +99,23 @@
         bool answerStarted = false;
     };
 
+    /** Prompt tokens that the group reads in the current iteration, and those that wait for the next. */
+    struct unread_prompts {
+        double current = 0.0;
+        double waiting = 0.0;
+    };
+
     engine_duration suspectSilence(time_point now) const;
     std::uint32_t promptTokensSince(time_point since) const;
     std::uint32_t ownPrefillTokens(time_point from, time_point to) const;
     std::uint32_t estimatedRunning(time_point now) const;
     bool isOtherLoadUnknown(time_point now) const;
     double ownLoadFactor(time_point now) const;
+    double otherTokens(duration time) const;
+    double otherBacklog(time_point now) const;
+    duration iterationAge(time_point now) const;
+    unread_prompts estimatedUnread(time_point now) const;
+    engine_duration typicalIterationTime(time_point now) const;
     engine_duration currentIterationTime(time_point now) const;
 
     engine_profile m_engine;
@@ -114,6 +131,8 @@
     time_point m_suspendedUntil;
     time_point m_nextProbeAt;
     double m_silenceFactor = 1.0; /**< Factor on the silence after which members are probed. */
+    engine_duration m_observedIteration{0}; /**< Moving average. */
+    engine_duration m_expectedIteration{0}; /**< Moving average of what the published figures gave for the same iterations. */
     double m_slowdown = 1.0; /**< Factor by which iterations take longer than the published figures. */
 };
 
--- a/include/carawayloft/service/service_configuration.h
+++ b/include/carawayloft/service/service_configuration.h
@@ -63,6 +63,7 @@
     engine_duration stepPerRequest{0}; /**< Added to step for each running request. */
     engine_duration stepPerThousandTokens{0}; /**< Added to step for each thousand tokens of context. */
     double prefillTokensPerSecond = 1.0;
+    std::uint32_t prefillTokensPerStep = 0; /**< Most prompt tokens read in one step; zero for no limit. */
     engine_duration prefillPerMillionPairs{0}; /**< Added to the prefill time for each million pairs of prompt tokens. */
     double loadsPerSecond = 1.0; /**< Rate at which loads from the weight store may begin. */
     std::uint32_t loadsAtOnce = 1; /**< Loads beyond this number slow each other down. */
--- a/src/fleet_pipe/engine_timing.cpp
+++ b/src/fleet_pipe/engine_timing.cpp
@@ -1,5 +1,7 @@
 #include <carawayloft/fleet/engine_timing.h>
 
+#include <limits>
+
 namespace carawayloft {
 
 /** Assumed context length of a running request; the exact length has little effect on the estimate. */
@@ -28,6 +30,14 @@
     return model.pace * (stepTime(engine, load.running) * engine.stepsPerIteration + prefill);
 }
 
+double prefillTokensPerIteration(const engine_profile &engine)
+{
+    if (engine.prefillTokensPerStep == 0) {
+        return std::numeric_limits<double>::max();
+    }
+    return static_cast<double>(engine.prefillTokensPerStep) * engine.stepsPerIteration;
+}
+
 engine_duration requestTime(const engine_profile &engine, const model_profile &model, double promptTokens, double answerTokens)
 {
     const engine_duration decode = model.pace * stepTime(engine, engine.slots) * (answerTokens / engine.slots);
--- a/src/gateway_pipe/group_monitor.cpp
+++ b/src/gateway_pipe/group_monitor.cpp
@@ -1,6 +1,7 @@
 #include <carawayloft/gateway/group_monitor.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace carawayloft {
 
@@ -23,8 +24,8 @@
 static constexpr double silenceFactorDecay = 0.998;
 static constexpr double maxSilenceFactor = 2.2;
 
-/** Weight of the newest iteration in the slowdown of a group, and the largest slowdown. */
-static constexpr double slowdownWeight = 0.1;
+/** Weight of the newest iteration in the average iteration times of a group, and the largest slowdown. */
+static constexpr double iterationWeight = 0.1;
 static constexpr double maxSlowdown = 8.0;
 
 /** Window of the reported rate of prompt tokens. */
@@ -33,8 +34,11 @@
 /** Time after the first call to a group in which reports do not cover the load of other gateways yet. */
 static constexpr duration firstReportTime{700};
 
-/** Length of the previous iteration, assumed for estimating which prompts of other gateways the current iteration reads. */
-static constexpr engine_duration typicalIteration{60};
+/** Largest share of an iteration that reading prompts is taken to need in steady state. */
+static constexpr double maxPrefillShare = 0.9;
+
+/** Average age of the load of other gateways when control passes it on: half the interval of their reports. */
+static constexpr duration meanReportAge{125};
 
 /** Time for which a group counts as progressing after it has sent bytes. */
 static constexpr duration progressWindow{1'000};
@@ -73,8 +77,9 @@
     const engine_duration elapsed = now - m_progressAt;
     const engine_duration expectedIteration = currentIterationTime(now) / m_slowdown;
     if (elapsed > expectedIteration / 2.0) {
-        const double slowdown = std::clamp(elapsed / expectedIteration, 1.0, maxSlowdown);
-        m_slowdown += slowdownWeight * (slowdown - m_slowdown);
+        m_observedIteration += iterationWeight * (std::min(elapsed, expectedIteration * maxSlowdown) - m_observedIteration);
+        m_expectedIteration += iterationWeight * (expectedIteration - m_expectedIteration);
+        m_slowdown = std::max(1.0, m_observedIteration / m_expectedIteration);
     }
     m_silenceFactor = std::max(1.0, m_silenceFactor * silenceFactorDecay);
     found->second.answerStarted = true;
@@ -125,23 +130,68 @@
     return m_others.running + static_cast<std::uint32_t>(ownLoadFactor(now) * static_cast<double>(m_calls.size()));
 }
 
+/** Prompt tokens that other gateways send to the group in this time. */
+double group_monitor::otherTokens(duration time) const
+{
+    return m_others.tokensPerSecond * std::chrono::duration<double>(time).count();
+}
+
+/** Unread prompt tokens of other gateways that are left of those last reported. */
+double group_monitor::otherBacklog(time_point now) const
+{
+    const duration age = std::min(loadAge(now) + meanReportAge, rateWindow);
+    const double read = m_engine.prefillTokensPerSecond / m_model.pace * std::chrono::duration<double>(age).count();
+    return std::max(0.0, m_others.prefillTokens + otherTokens(age) - read);
+}
+
+/** Length of an iteration in steady state: it reads the prompts that arrived during the one before. */
+engine_duration group_monitor::typicalIterationTime(time_point now) const
+{
+    const double tokensPerSecond = m_others.tokensPerSecond + static_cast<double>(promptTokensSince(now - rateWindow));
+    const double prefillShare = std::min(maxPrefillShare, tokensPerSecond * m_model.pace / m_engine.prefillTokensPerSecond);
+    const engine_duration steps = iterationTime(m_engine, m_model, {static_cast<double>(estimatedRunning(now)), 0.0});
+    const engine_duration longest = iterationTime(m_engine, m_model, {static_cast<double>(estimatedRunning(now)), prefillTokensPerIteration(m_engine)});
+    return std::min(longest, steps / (1.0 - prefillShare));
+}
+
+/** Time since the current iteration began; half of a typical one while no answer for this gateway shows the end of iterations. */
+duration group_monitor::iterationAge(time_point now) const
+{
+    const duration typical = std::chrono::ceil<duration>(typicalIterationTime(now));
+    const bool isObserved = std::any_of(m_calls.begin(), m_calls.end(), [](const auto &each) { return each.second.answerStarted; });
+    return isObserved ? std::min(typical, silence(now)) : typical / 2;
+}
+
+group_monitor::unread_prompts group_monitor::estimatedUnread(time_point now) const
+{
+    const double factor = ownLoadFactor(now);
+    const duration age = iterationAge(now);
+    const double arrivedSince = otherTokens(age);
+    const double arrivedBefore = otherTokens(std::chrono::ceil<duration>(typicalIterationTime(now)));
+    const double others = std::max(arrivedBefore + arrivedSince, otherBacklog(now));
+    const double current = factor * ownPrefillTokens(time_point::min(), now - age) + std::max(arrivedBefore, others - arrivedSince);
+    const double read = std::min(current, prefillTokensPerIteration(m_engine));
+    return {read, current - read + factor * ownPrefillTokens(now - age, now) + arrivedSince};
+}
+
 /** Expected length of the current iteration. */
 engine_duration group_monitor::currentIterationTime(time_point now) const
 {
-    const double ownTokens = ownLoadFactor(now) * ownPrefillTokens(time_point::min(), m_progressAt);
-    const double otherTokens = m_others.tokensPerSecond * std::chrono::duration<double>(typicalIteration).count();
-    return m_slowdown * iterationTime(m_engine, m_model, {static_cast<double>(estimatedRunning(now)), ownTokens + otherTokens});
+    return m_slowdown * iterationTime(m_engine, m_model, {static_cast<double>(estimatedRunning(now)), estimatedUnread(now).current});
 }
 
 prompt_forecast group_monitor::forecast(token_count promptTokens, time_point now) const
 {
     const std::uint32_t requests = estimatedRunning(now);
     const engine_duration currentIteration = requests > 0 ? currentIterationTime(now) : engine_duration(0);
-    const double ownTokens = ownLoadFactor(now) * ownPrefillTokens(m_progressAt, now);
-    const double otherTokens = m_others.tokensPerSecond * std::chrono::duration<double>(currentIteration).count();
-    const engine_duration nextIteration = m_slowdown * iterationTime(m_engine, m_model, {requests + 1.0, ownTokens + otherTokens});
-    const engine_duration remaining = std::max(engine_duration(0), currentIteration - engine_duration(now - m_progressAt));
-    return {remaining + nextIteration + m_slowdown * prefillTime(m_engine, m_model, promptTokens), nextIteration, requests};
+    const engine_duration remaining = std::max(engine_duration(0), currentIteration - engine_duration(iterationAge(now)));
+    const double waiting = estimatedUnread(now).waiting + otherTokens(std::chrono::ceil<duration>(remaining));
+    const double perIteration = prefillTokensPerIteration(m_engine);
+    const engine_duration steps = iterationTime(m_engine, m_model, {requests + 1.0, 0.0});
+    const engine_duration nextIteration = m_slowdown * iterationTime(m_engine, m_model, {requests + 1.0, std::min(waiting, perIteration)});
+    const double fullIterations = std::floor((waiting + promptTokens) / perIteration);
+    const engine_duration prefill = iterationTime(m_engine, m_model, {requests + 1.0, waiting}) - steps + prefillTime(m_engine, m_model, promptTokens);
+    return {remaining + m_slowdown * ((fullIterations + 1.0) * steps + prefill), nextIteration, requests};
 }
 
 engine_duration group_monitor::suspectSilence(time_point now) const
