Shed load by the demand at all gateways, and spread what is sent over the groups

Cause: each gateway admits by the state of a group as control told it up to half a second ago, and each lets its waiting requests try again every 20 ms. So all of them fill the same gap, the group falls behind by several iterations, and everything that it then answers is late. Requests that came back after a rejection, which can only be late, filled what was left.

Now control's grant tells the demand for each model at all gateways, and a gateway rejects on arrival the fraction that the groups cannot answer in time, by the peak of their goodput, which follows from the engine's published figures. First attempts go before requests that come back. A random part of the cost of a group keeps gateways from all choosing the one that looked best last.

Rejecting on arrival is better for callers than what it replaces: who is shed knows at once and may return, and who is admitted is answered in time.

--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -69,10 +69,12 @@
 /** Demand for a model, whether it is served or not, averaged over the last seconds. */
 struct model_traffic {
     model_id model;
-    double requestsPerSecond = 0.0;
+    double requestsPerSecond = 0.0; /**< First attempts only. */
     double promptTokens = 0.0; /**< Average per request. */
     double answerTokens = 0.0; /**< Average per request, as callers expect. */
     engine_duration objective{0}; /**< Average objective for the time to the first event. */
+    double recentRequestsPerSecond = 0.0; /**< As requestsPerSecond, over a shorter time. */
+    double returningPerSecond = 0.0; /**< Requests that return after a rejection, over the shorter time. */
 
     static constexpr auto fields()
     {
@@ -80,7 +82,9 @@
                           field{"requests_per_second", &model_traffic::requestsPerSecond},
                           field{"prompt_tokens", &model_traffic::promptTokens},
                           field{"answer_tokens", &model_traffic::answerTokens},
-                          field{"objective_ms", &model_traffic::objective});
+                          field{"objective_ms", &model_traffic::objective},
+                          field{"recent_requests_per_second", &model_traffic::recentRequestsPerSecond},
+                          field{"returning_per_second", &model_traffic::returningPerSecond});
     }
 };
 
@@ -110,6 +114,7 @@
     std::uint32_t gateways = 1; /**< Number of gateways that share the limits of the fleet. */
     std::vector<group_load> others; /**< Sum over all other gateways. */
     std::vector<endpoint> replicas; /**< Frame addresses of all control replicas. */
+    std::vector<model_traffic> modelTraffic; /**< Demand at all gateways, this one included. */
 
     static constexpr auto fields()
     {
@@ -118,7 +123,8 @@
                           field{"length_ms", &gateway_grant::length},
                           field{"gateways", &gateway_grant::gateways},
                           field{"others", &gateway_grant::others},
-                          field{"replicas", &gateway_grant::replicas});
+                          field{"replicas", &gateway_grant::replicas},
+                          field{"asked", &gateway_grant::modelTraffic});
     }
 };
 
--- a/include/carawayloft/fleet/fleet_utility.h
+++ b/include/carawayloft/fleet/fleet_utility.h
@@ -1,16 +1,13 @@
 #pragma once
 
 #include <carawayloft/fleet/engine_timing.h>
-#include <carawayloft/fleet/fleet_messages.h>
+#include <carawayloft/fleet/fleet_traffic.h>
 
 #include <map>
 #include <vector>
 
 namespace carawayloft {
 
-/** Demand for each model. */
-using fleet_traffic = std::map<model_id, model_traffic>;
-
 /** Number of groups of each model. */
 using group_counts = std::map<model_id, std::size_t>;
 
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -5,6 +5,7 @@
 #include <carawayloft/gateway/fleet_limiter.h>
 #include <carawayloft/gateway/gateway_messages.h>
 #include <carawayloft/gateway/group_monitor.h>
+#include <carawayloft/gateway/load_shedder.h>
 #include <carawayloft/gateway/stream_splice.h>
 #include <carawayloft/gateway/traffic_meter.h>
 #include <carawayloft/service/route_table.h>
@@ -109,6 +110,8 @@
     std::optional<error> resolve(request_context &context, std::uint32_t &status);
     const service_settings *chooseService(const service_route &route, const service_configuration &configuration);
     void recordTraffic(const request_context &context);
+    bool shouldShed(const request_context &context);
+    const model_profile *modelOf(const request_context &context) const;
     void reject(request_context &context, std::uint32_t status, error why, run_outcome outcome, duration retryAfter);
     void finish(request_id request, bool whole);
 
@@ -172,6 +175,7 @@
     route_table m_routes;
     fleet_limiter m_limiter;
     traffic_meter m_trafficMeter;
+    load_shedder m_loadShedder;
 
     std::map<request_id, request_context> m_activeRequests;
     std::map<backend_call_id, request_id> m_calls;
--- a/include/carawayloft/gateway/traffic_meter.h
+++ b/include/carawayloft/gateway/traffic_meter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carawayloft/fleet/fleet_messages.h>
+#include <carawayloft/gateway/sliding_window_counter.h>
 
 #include <deque>
 #include <map>
@@ -11,9 +12,12 @@
 class traffic_meter
 {
 public:
-    /** Counts a request; @p answerTokens is the length that the caller expects. */
+    /** Counts the first attempt of a request; @p answerTokens is the length that the caller expects. */
     void count(const model_id &model, token_count promptTokens, token_count answerTokens, engine_duration objective, time_point now);
 
+    /** Counts a request that returns after a rejection. */
+    void countReturning(const model_id &model, time_point now);
+
     /** Averages over the last seconds; models without recent requests are left out. */
     std::vector<model_traffic> averages(time_point now);
 
@@ -25,7 +29,10 @@
         engine_duration objective{0};
     };
 
+    double recentRate(const std::deque<request> &requests, time_point now) const;
+
     std::map<model_id, std::deque<request>> m_requests;
+    std::map<model_id, sliding_window_counter> m_returning;
 };
 
 } // namespace carawayloft
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -150,7 +150,7 @@
     if (isNew) {
         m_out.emplace_back(publish_to_gateway{in.gateway, snapshot(m_now)});
     }
-    gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas};
+    gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}};
     std::map<group_epoch, group_load> others;
     for (const auto &[link, each] : m_gateways) {
         if (link == in.gateway) {
@@ -168,6 +168,9 @@
     for (const auto &[epoch, load] : others) {
         grant.others.push_back(load);
     }
+    for (const auto &[model, demand] : totalTraffic()) {
+        grant.modelTraffic.push_back(demand);
+    }
     m_out.emplace_back(grant_to_gateway{in.gateway, std::move(grant)});
     for (const backend_id &each : in.report.unreachable) {
         handleUnreachableReport(each);
@@ -378,14 +381,7 @@
     fleet_traffic sums;
     for (const auto &[link, each] : m_gateways) {
         for (const model_traffic &part : each.modelTraffic) {
-            model_traffic &sum = sums[part.model];
-            const double rate = sum.requestsPerSecond + part.requestsPerSecond;
-            const double weight = rate > 0.0 ? part.requestsPerSecond / rate : 0.0;
-            sum.model = part.model;
-            sum.promptTokens += weight * (part.promptTokens - sum.promptTokens);
-            sum.answerTokens += weight * (part.answerTokens - sum.answerTokens);
-            sum.objective += weight * (part.objective - sum.objective);
-            sum.requestsPerSecond = rate;
+            addTraffic(sums, part);
         }
     }
     return sums;
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -103,8 +103,11 @@
     m_limiter.countRequest(context.service->service, m_now);
     // A retry after a rejection states a shorter time limit; the caller will not retry once more.
     context.isLate = (in.timeLimit.count() > 0 && in.timeLimit < context.route->timeLimit * 9 / 10) || m_now >= context.arrivedAt + context.route->objective;
-    if (!context.isLate) {
-        recordTraffic(context);
+    recordTraffic(context);
+    if (shouldShed(context)) {
+        const error overload{error_kind::Overloaded, "the groups of the model are overloaded", "retry after the stated time"};
+        reject(context, http_status::serviceUnavailable, overload, run_outcome::DidNotRun, repairRetryAfter);
+        return;
     }
     context.waitDeadline = m_now + (context.isLate ? std::min(maxWait, limit / waitDivisor) : context.route->objective * 6 / 10);
     dispatch(context);
@@ -142,10 +145,41 @@
     return std::nullopt;
 }
 
+/** Profile of the requested model, or nullptr if the service runs no engines or does not have the model. */
+const model_profile *gateway_pipe::modelOf(const request_context &context) const
+{
+    if (!context.service->engine) {
+        return nullptr;
+    }
+    const auto &models = context.service->engine->models;
+    const auto found = std::find_if(models.begin(), models.end(), [&](const model_profile &each) { return each.model == context.request.model; });
+    return found == models.end() ? nullptr : &*found;
+}
+
+/** Whether to reject the request on arrival, since the groups of its model cannot answer all requests in time. */
+bool gateway_pipe::shouldShed(const request_context &context)
+{
+    const model_profile *model = modelOf(context);
+    if (model == nullptr) {
+        return false;
+    }
+    double groups = 0.0;
+    for (const auto &[epoch, group] : m_view.groups()) {
+        const group_monitor *monitor = group.model == model->model && group.phase == group_phase::Open ? monitorFor(epoch) : nullptr;
+        groups += monitor == nullptr || monitor->isSuspended(m_now) ? 0.0 : 1.0 / monitor->slowdown();
+    }
+    const admission_shares shares = m_loadShedder.sharesFor(*context.service->engine, *model, groups);
+    return std::uniform_real_distribution<double>(0.0, 1.0)(m_random) >= (context.isLate ? shares.returning : shares.fresh);
+}
+
 /** Counts the request in the reported traffic of its model. */
 void gateway_pipe::recordTraffic(const request_context &context)
 {
     if (context.service->engine && !context.request.model.value().empty()) {
+        if (context.isLate) {
+            m_trafficMeter.countReturning(context.request.model, m_now);
+            return;
+        }
         const bool hinted = context.request.expectedAnswerTokens > 0;
         const token_count answer = hinted ? context.request.expectedAnswerTokens : context.request.maxAnswerTokens;
         m_trafficMeter.count(context.request.model, context.request.promptTokens, answer, context.route->objective, m_now);
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -35,9 +35,12 @@
 /** The same for interrupted streams, whose callers already have part of the answer. */
 static constexpr double maxResumeIterationShare = 0.9;
 
+/** Random part of the cost of a group as a share of the objective: gateways that learn late what others send must not all choose the same group. */
+static constexpr double costJitterShare = 1.0;
+
 /** Both shares for requests that cannot meet their objective; the rest is reserved for those that can. */
 static constexpr double maxLateSlotShare = 0.7;
-static constexpr double maxLateIterationShare = 0.35;
+static constexpr double maxLateIterationShare = 0.2;
 
 bool gateway_pipe::acceptsRequests(const backend_view::backend &backend) const
 {
@@ -95,8 +98,9 @@
             continue;
         }
         const double zoneCost = head->record.zone == m_options.zone ? 0.0 : otherZoneCostMs;
+        const double jitter = std::uniform_real_distribution<double>(0.0, costJitterShare)(m_random) * static_cast<double>(context.route->objective.count());
         candidates.push_back(
-            {head, epoch, forecast.timeToFirstEvent.count() + zoneCost, forecast.running, std::chrono::ceil<duration>(forecast.timeToFirstEvent)});
+            {head, epoch, forecast.timeToFirstEvent.count() + zoneCost + jitter, forecast.running, std::chrono::ceil<duration>(forecast.timeToFirstEvent)});
     }
     return takeCheapest(context, std::move(candidates));
 }
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -167,6 +167,7 @@
     }
     m_reportedAt.erase(m_reportedAt.begin(), std::next(reported));
     m_limiter.setGateways(grant.gateways, m_now);
+    m_loadShedder.setDemand(grant.modelTraffic);
     m_otherGateways = grant.gateways > 0 ? grant.gateways - 1 : 0;
     for (auto &[epoch, monitor] : m_groupMonitors) {
         const auto others = std::find_if(grant.others.begin(), grant.others.end(), [&, id = epoch](const group_load &each) { return each.epoch == id; });
--- a/tests/fleet/allocation_property_test.cpp
+++ b/tests/fleet/allocation_property_test.cpp
@@ -108,6 +108,7 @@
     engine_profile engine = makeEngine(largeSize, smallSize);
     engine.slots = 46;
     engine.stepsPerIteration = 7;
+    engine.prefillTokensPerStep = 2'048;
     engine.stepPerRequest = engine_duration(0.05);
     const fleet_traffic traffic{
         {largeModel, {largeModel, largeRate, 1'600.0, 120.0, engine_duration(330)}}, {smallModel, {smallModel, smallRate, 700.0, 190.0, engine_duration(200)}}};
--- a/tests/gateway/traffic_meter_test.cpp
+++ b/tests/gateway/traffic_meter_test.cpp
@@ -21,6 +21,18 @@
     EXPECT_GT(averages.front().requestsPerSecond, 0.0);
 }
 
+TEST(TrafficMeter, TellsRecentAndReturningRequestsFromAll)
+{
+    traffic_meter meter;
+    meter.count(model, 1'000, 100, engine_duration(200), start);
+    meter.count(model, 1'000, 100, engine_duration(200), start + duration(5'000));
+    meter.countReturning(model, start + duration(5'000));
+    const model_traffic traffic = meter.averages(start + duration(5'500)).front();
+    EXPECT_DOUBLE_EQ(traffic.requestsPerSecond, 0.25);
+    EXPECT_DOUBLE_EQ(traffic.recentRequestsPerSecond, 0.5);
+    EXPECT_DOUBLE_EQ(traffic.returningPerSecond, 0.5);
+}
+
 TEST(TrafficMeter, ForgetsOldRequests)
 {
     traffic_meter meter;
