Plan the groups of a fleet for its losses, and form towards the plan

Callers of the large model met two or three groups, often one, where the small model had twenty and served 97 in 100 on time at half of its objective. A lost large group was back after 0.5 to 3.6 s if its domain had a spare, and else not at all.

Cause: fleet_utility took 80 in 100 as on time at a load of 0.4 and the rest as falling with the inverse of the load, for every model. By that the small groups lacked as much as the large ones, and losses were no part of it, so three large groups that just sufficed were kept. Formation then used whatever servers were ready, rebalancing gave up one group at a time, and no server staged the large model in a domain that had lost its last group of it.

Now the share on time follows from the goodput of a group, the engine's figures and the objective. The utility is what is left over the outages of single groups (with and without a spare in the domain), after the worst loss of a group, and after the worst loss of a domain. planFleet chooses the composition of all domains by it, single domains and pairs in turn. Formation chooses among all combinations of the spares and keeps spares for a planned group that cannot be formed yet; a domain whose servers come back waits until they are there. Rebalancing closes as many groups of a domain as one group of another model needs. Members of small groups stage the larger model, one group a domain at a time, until the domain can replace a whole large group.

--- a/include/carawayloft/fleet/fleet_utility.h
+++ b/include/carawayloft/fleet/fleet_utility.h
@@ -1,25 +1,16 @@
 #pragma once
 
-#include <carawayloft/fleet/engine_timing.h>
+#include <carawayloft/fleet/fleet_composition.h>
 #include <carawayloft/fleet/fleet_traffic.h>
+#include <carawayloft/fleet/group_goodput.h>
 
-#include <map>
 #include <vector>
 
 namespace carawayloft {
 
-/** Number of groups of each model. */
-using group_counts = std::map<model_id, std::size_t>;
-
-/** The groups of a fleet, and the number of fabric domains that could replace a lost member at once. */
-struct fleet_counts {
-    group_counts groups;
-    std::size_t domainsWithSpares = 0;
-};
-
 /**
- * Utility function over the number of groups of each model. The unit is the work that is finished in time, in busy
- * group-seconds per second.
+ * Utility function over the composition of a fleet. The unit is the work that is expected to finish in time, in busy
+ * group-seconds per second, over the losses of members and of whole fabric domains that the fleet has to bear.
  */
 class fleet_utility
 {
@@ -27,14 +18,11 @@
     /** @p engine must outlive this object. */
     fleet_utility(const engine_profile &engine, const fleet_traffic &traffic);
 
-    /**
-     * Work that is finished in time, plus a bonus for the worst-served model and for spares, which limit the loss
-     * when a member fails, minus a penalty for models with traffic and no group.
-     */
-    double of(const fleet_counts &fleet) const;
+    /** Work expected in time, plus a bonus for the worst-served model, minus a penalty for models with traffic and no group. */
+    double of(const fleet_composition &fleet) const;
 
-    /** Fraction of the traffic of the model that these groups serve in time. */
-    double onTimeFraction(const model_id &model, const group_counts &groups) const;
+    /** Fraction of the traffic of the model that this many groups serve in time while none is lost. */
+    double onTimeFraction(const model_id &model, std::size_t groups) const;
 
     const std::vector<model_profile> &models() const
     {
@@ -42,11 +30,25 @@
     }
 
 private:
-    double onTimeWork(const group_counts &groups) const;
+    /** Demand for a model, and what numbers of groups make of it. */
+    struct model_demand {
+        double requestsPerSecond = 0.0;
+        double work = 0.0; /**< Busy group-seconds per second. */
+        group_goodput goodput;
+        double outageWithSpare = 0.0; /**< Fraction of the time that a group is out, if its domain has a spare. */
+        double outageWithoutSpare = 0.0;
+        mutable std::vector<double> shareWithSpares; /**< Expected on-time share by number of groups. */
+        mutable std::vector<double> shareWithoutSpares;
+    };
+
+    double expectedWork(const group_counts &groups, double spareShare) const;
+    double workAfterGroupLoss(const group_counts &groups, double spareShare) const;
+    double workAfterDomainLoss(const fleet_composition &fleet, const group_counts &groups, double spareShare) const;
+    double expectedShare(const model_demand &demand, std::size_t groups, double spareShare) const;
 
     const engine_profile *m_engine;
-    std::map<model_id, double> m_offeredLoad; /**< Offered load of each model, in group-seconds per second. */
-    double m_totalLoad = 0.0;
+    std::vector<model_demand> m_demands; /**< In the order of the engine's models. */
+    double m_totalWork = 0.0;
 };
 
 } // namespace carawayloft
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -135,6 +135,12 @@
     };
     using domain_pools = std::map<fabric_domain_id, domain_pool>;
 
+    /** Servers of one fabric domain that came recently; more may follow. */
+    struct domain_arrivals {
+        std::size_t known = 0; /**< Servers at the last look. */
+        std::deque<time_point> recent; /**< When servers beyond the known ones came. */
+    };
+
     void handle(const reconcile_groups &in);
     void handle(const group_control_began &in);
     void handle(const group_control_ended &in);
@@ -170,22 +176,30 @@
     const managed_group *findGroup(const backend_id &backend) const;
     bool isFree(const backend_registry::entry &entry) const;
     void formGroup(const service_settings &service, const planned_group &chosen);
-    void rebalance(const service_settings &service, const fleet_utility &utility, const fleet_counts &fleet, domain_pools pools);
-    void addUpcomingSpares(const service_settings &service, domain_pools &pools) const;
     fleet_utility makeUtility(const service_settings &service) const;
-    group_counts countGroups(const service_settings &service) const;
-    void assessModels(const service_settings &service,
-                      const fleet_utility &utility,
-                      const group_counts &groups,
-                      const std::map<fabric_domain_id, domain_allocation> &targets);
+    fleet_composition compose(const service_settings &service, const domain_pools &pools) const;
+    const fleet_plan &planFor(const service_settings &service, const fleet_utility &utility, const domain_pools &pools);
+    bool isReturning(const fabric_domain_id &domain, const domain_pool &pool, std::size_t smallestGroup);
+    void assessModels(const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const fleet_plan &plan);
+
+    // Rebalancing.
+    void rebalance(const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, domain_pools pools, const fleet_plan &plan);
+    std::vector<group_epoch> bestRegrouping(
+        const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const domain_pools &pools, const fleet_plan &plan) const;
+    std::vector<group_epoch>
+    groupsToFree(const service_settings &service, const fabric_domain_id &domain, const model_profile &from, const model_profile &to, domain_pool &pool) const;
+    bool isClosingIn(const fabric_domain_id &domain) const;
+    fabric_domain_id domainOf(const managed_group &group) const;
+    std::vector<spare_backend> membersAsSpares(const managed_group &group) const;
+    void addUpcomingSpares(const service_settings &service, domain_pools &pools) const;
 
     // Weights.
-    void assignStandbys(const service_settings &service, domain_pool &pool, const domain_allocation &target);
+    void assignStandbys(const service_settings &service, domain_pool &pool, const std::vector<std::size_t> &target);
     void startStandby(const model_profile &model, const backend_id &backend, bool loadsFromStore);
     void reconcileStandbys();
-    void stageAdditionalModels(const service_settings &service, const fleet_utility &utility, const fleet_counts &fleet, const domain_pools &pools);
-    bool shouldStageOnMembers(const service_settings &service, const managed_group &group, const domain_pools &pools) const;
-    bool otherGroupHasReplacement(const model_profile &model, const managed_group &group, const fabric_domain_id &domain) const;
+    void stageAdditionalModels(const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const domain_pools &pools);
+    std::vector<const managed_group *> groupsToStageOn(const service_settings &service, const domain_pools &pools) const;
+    std::size_t replacementCount(const fabric_domain_id &domain, const domain_pool &pool, const model_profile &model) const;
     void startStaging(const model_profile &model, const backend_id &backend);
     void reconcileStaging();
     std::size_t activeLoads() const;
@@ -203,7 +217,6 @@
     log_term m_term;
     std::uint64_t m_epochsUsed = 0;
     order_id m_lastOrder;
-    time_point m_beganAt;
     std::map<group_epoch, managed_group> m_groups;
     std::map<backend_id, group_epoch> m_memberOf; /**< Members of the groups in m_groups. */
     std::map<backend_id, standby> m_standby;
@@ -216,8 +229,11 @@
     std::size_t m_registeredCount = 0; /**< Backend servers in the registry at the last check of their number. */
     time_point m_lastRegisteredAt; /**< When that number last changed. */
     std::map<group_epoch, time_point> m_unadoptedSince;
+    std::map<service_id, fleet_plan> m_plans;
+    std::map<service_id, time_point> m_plannedAt;
+    std::map<fabric_domain_id, domain_arrivals> m_arrivals;
     time_point m_rebalancedAt;
-    std::optional<group_epoch> m_surplusGroup; /**< Group whose members have more utility in other groups. */
+    std::vector<group_epoch> m_surplusGroups; /**< Groups whose members have more utility in other groups. */
     time_point m_surplusSince;
     std::map<model_id, model_assessed> m_assessed; /**< Last reported. */
     std::map<model_id, time_point> m_assessedAt;
--- a/include/carawayloft/fleet/model_allocation.h
+++ b/include/carawayloft/fleet/model_allocation.h
@@ -11,13 +11,22 @@
     std::vector<spare_backend> members;
 };
 
-/** How many backend servers of a fabric domain should have each model as their primary one, spares included. */
-using domain_allocation = std::map<model_id, std::size_t>;
+/** What a fabric domain should hold, regardless of what it holds now. Counts are in the order of the engine's models. */
+struct domain_plan {
+    group_counts groups;
+    std::vector<std::size_t> servers; /**< Servers that should have each model as their primary one, spares included. */
+};
+
+using fleet_plan = std::map<fabric_domain_id, domain_plan>;
 
-/** Greedily forms groups of the spares in the pool as long as the utility of the fleet grows. */
-std::vector<planned_group> formDomainGroups(const fleet_utility &utility, fleet_counts &fleet, domain_pool &pool);
+/** Plans what every fabric domain should hold, by the number of its servers. */
+fleet_plan planFleet(const fleet_utility &utility, const std::map<fabric_domain_id, std::size_t> &domains);
 
-/** The allocation that every fabric domain should reach, by the number of its servers and regardless of what they hold now. */
-std::map<fabric_domain_id, domain_allocation> allocateModels(const fleet_utility &utility, const std::map<fabric_domain_id, std::size_t> &domains);
+/**
+ * Forms those groups of the spares in the pool that give the fleet the highest utility, and removes their members from
+ * the pool. Spares that the plan has for a group that cannot be formed yet are not used for more groups of other models.
+ */
+std::vector<planned_group>
+formDomainGroups(const fleet_utility &utility, fleet_composition &fleet, const fabric_domain_id &domain, domain_pool &pool, const group_counts &planned);
 
 } // namespace carawayloft
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -43,7 +43,6 @@
     m_active = true;
     m_term = in.term;
     m_epochsUsed = 0;
-    m_beganAt = m_now;
     m_groups.clear();
     m_memberOf.clear();
     m_standby.clear();
@@ -55,6 +54,8 @@
     m_unadoptedSince.clear();
     m_recentLoads.clear();
     m_rebalancedAt = m_now;
+    m_plans.clear();
+    m_arrivals.clear();
     for (const engine_group &each : in.inherited) {
         managed_group group;
         group.group = each;
--- a/src/fleet_pipe/group_controller_formation.cpp
+++ b/src/fleet_pipe/group_controller_formation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace carawayloft {
 
@@ -14,20 +15,11 @@
 /** At the first start, all backend servers are taken to have announced themselves after this time without a new one. */
 static constexpr duration registrationQuietPeriod{350};
 
-/**
- * Minimum gain in utility, in units of one group's work, for closing a group in favour of others: closing disturbs its
- * streams, and its capacity is lost meanwhile.
- */
-static constexpr double minRebalanceGain = 0.6;
+/** Maximum age of the plan. */
+static constexpr duration planningInterval{1'000};
 
-/** Time for which the gain must persist: a new spare may make the change unnecessary. */
-static constexpr duration rebalanceDelay{1'500};
-
-/** Minimum time between two such changes: the effect of the first must show in the reported loads. */
-static constexpr duration rebalanceInterval{4'000};
-
-/** Standbys that will be ready within this time count as spares. */
-static constexpr duration upcomingSpareWindow{2'500};
+/** In a domain where many servers come back, groups are formed once none has come for this long. */
+static constexpr duration arrivalQuietPeriod{350};
 
 /** Maximum time between two reports of the state of a model. */
 static constexpr duration assessmentInterval{5'000};
@@ -72,15 +64,31 @@
     return {engine, traffic};
 }
 
-group_counts group_controller::countGroups(const service_settings &service) const
+/** The groups that serve or are being formed, by the fabric domain of their head. */
+fleet_composition group_controller::compose(const service_settings &service, const domain_pools &pools) const
 {
-    group_counts counts;
+    const std::vector<model_profile> &models = service.engine->models;
+    fleet_composition fleet;
+    for (const auto &[domain, pool] : pools) {
+        fleet[domain] = {group_counts(models.size()), pool.readyCount() > 0};
+    }
     for (const auto &[epoch, each] : m_groups) {
-        if (each.group.service == service.service && each.group.phase != group_phase::Closing) {
-            ++counts[each.group.model];
+        const auto model = std::find_if(models.begin(), models.end(), [&](const model_profile &profile) { return profile.model == each.group.model; });
+        if (each.group.service != service.service || each.group.phase == group_phase::Closing || model == models.end()) {
+            continue;
         }
+        domain_composition &domain = fleet[domainOf(each)];
+        domain.groups.resize(models.size());
+        ++domain.groups[static_cast<std::size_t>(model - models.begin())];
     }
-    return counts;
+    return fleet;
+}
+
+/** Fabric domain of the group's head; empty if that is unknown. */
+fabric_domain_id group_controller::domainOf(const managed_group &group) const
+{
+    const backend_registry::entry *head = findEntry(group.group.head());
+    return head == nullptr ? fabric_domain_id() : head->record.fabricDomain;
 }
 
 /** The group of a backend server, or nullptr. */
@@ -141,52 +149,86 @@
     return !m_context->trafficStarted && m_now < m_lastRegisteredAt + registrationQuietPeriod;
 }
 
-void group_controller::reconcileService(const service_settings &service)
+/** The plan for the servers there are, made anew when their number changes and every planningInterval. */
+const fleet_plan &group_controller::planFor(const service_settings &service, const fleet_utility &utility, const domain_pools &pools)
 {
-    domain_pools pools = buildPools(service);
-    const fleet_utility utility = makeUtility(service);
-    fleet_counts fleet{countGroups(service), 0};
+    fleet_plan &plan = m_plans[service.service];
     std::map<fabric_domain_id, std::size_t> sizes;
+    bool changed = plan.size() != pools.size();
     for (const auto &[domain, pool] : pools) {
         sizes[domain] = pool.size();
-        fleet.domainsWithSpares += pool.readyCount() > 0 ? 1 : 0;
+        const auto planned = plan.find(domain);
+        changed = changed || planned == plan.end()
+                  || std::accumulate(planned->second.servers.begin(), planned->second.servers.end(), std::size_t{0}) != pool.size();
+    }
+    if (changed || m_now >= m_plannedAt[service.service] + planningInterval) {
+        plan = planFleet(utility, sizes);
+        m_plannedAt[service.service] = m_now;
     }
+    return plan;
+}
+
+/** Whether many servers of the domain came just now, so that groups formed now would lack those that follow. */
+bool group_controller::isReturning(const fabric_domain_id &domain, const domain_pool &pool, std::size_t smallestGroup)
+{
+    domain_arrivals &arrivals = m_arrivals[domain];
+    for (std::size_t count = arrivals.known; count < pool.size(); ++count) {
+        arrivals.recent.push_back(m_now);
+    }
+    arrivals.known = pool.size();
+    while (!arrivals.recent.empty() && m_now >= arrivals.recent.front() + arrivalQuietPeriod) {
+        arrivals.recent.pop_front();
+    }
+    return m_context->trafficStarted && arrivals.recent.size() >= std::max<std::size_t>(smallestGroup, 2);
+}
+
+void group_controller::reconcileService(const service_settings &service)
+{
+    domain_pools pools = buildPools(service);
+    const fleet_utility utility = makeUtility(service);
+    fleet_composition fleet = compose(service, pools);
+    const fleet_plan &plan = planFor(service, utility, pools);
+    const auto &models = service.engine->models;
+    const auto smallest
+        = std::min_element(models.begin(), models.end(), [](const auto &one, const auto &other) { return one.hostsPerGroup < other.hostsPerGroup; });
     for (auto &[domain, pool] : pools) {
-        for (const planned_group &each : formDomainGroups(utility, fleet, pool)) {
+        if (smallest == models.end() || isReturning(domain, pool, smallest->hostsPerGroup)) {
+            continue;
+        }
+        for (const planned_group &each : formDomainGroups(utility, fleet, domain, pool, plan.at(domain).groups)) {
             formGroup(service, each);
         }
     }
-    rebalance(service, utility, fleet, pools);
-    const std::map<fabric_domain_id, domain_allocation> targets = allocateModels(utility, sizes);
-    assessModels(service, utility, fleet.groups, targets);
+    assessModels(service, utility, fleet, plan);
+    rebalance(service, utility, fleet, pools, plan);
     for (auto &[domain, pool] : pools) {
-        assignStandbys(service, pool, targets.at(domain));
+        assignStandbys(service, pool, plan.at(domain).servers);
     }
     stageAdditionalModels(service, utility, fleet, pools);
 }
 
 /** Reports the state of each model when its number of groups or the plan for it changes, and at least every assessmentInterval. */
-void group_controller::assessModels(const service_settings &service,
-                                    const fleet_utility &utility,
-                                    const group_counts &groups,
-                                    const std::map<fabric_domain_id, domain_allocation> &targets)
+void group_controller::assessModels(const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const fleet_plan &plan)
 {
-    for (const model_profile &each : service.engine->models) {
-        model_assessed now{each.model, 0.0, 0, 0, utility.onTimeFraction(each.model, groups)};
-        if (const auto found = groups.find(each.model); found != groups.end()) {
-            now.groups = found->second;
+    const std::vector<model_profile> &models = service.engine->models;
+    for (std::size_t i = 0; i < models.size(); ++i) {
+        const model_id &model = models[i].model;
+        model_assessed now{model, 0.0, 0, 0, 0.0};
+        for (const auto &[domain, composition] : fleet) {
+            now.groups += composition.groups[i];
         }
-        if (const auto found = m_context->modelTraffic.find(each.model); found != m_context->modelTraffic.end()) {
-            now.requestsPerSecond = found->second.requestsPerSecond;
+        for (const auto &[domain, planned] : plan) {
+            now.plannedGroups += planned.groups[i];
         }
-        for (const auto &[domain, target] : targets) {
-            now.plannedGroups += target.at(each.model) / each.hostsPerGroup;
+        if (const auto found = m_context->modelTraffic.find(model); found != m_context->modelTraffic.end()) {
+            now.requestsPerSecond = found->second.requestsPerSecond;
         }
-        const auto last = m_assessed.find(each.model);
+        now.onTimeShare = utility.onTimeFraction(model, now.groups);
+        const auto last = m_assessed.find(model);
         const bool changed = last == m_assessed.end() || last->second.groups != now.groups || last->second.plannedGroups != now.plannedGroups;
-        if (changed || m_now >= m_assessedAt[each.model] + assessmentInterval) {
-            m_assessed[each.model] = now;
-            m_assessedAt[each.model] = m_now;
+        if (changed || m_now >= m_assessedAt[model] + assessmentInterval) {
+            m_assessed[model] = now;
+            m_assessedAt[model] = m_now;
             m_out.emplace_back(now);
         }
     }
@@ -208,65 +250,4 @@
     reconcileForming(placed);
 }
 
-/** Utility of the fleet once every fabric domain has formed groups of its spares, current and upcoming. */
-static double utilityWhenFilled(const fleet_utility &utility, fleet_counts fleet, std::map<fabric_domain_id, domain_pool> pools)
-{
-    for (auto &[domain, pool] : pools) {
-        formDomainGroups(utility, fleet, pool);
-    }
-    return utility.of(fleet);
-}
-
-/** Closes a group when its members and the spares of their domain have more utility in other groups. */
-void group_controller::rebalance(const service_settings &service, const fleet_utility &utility, const fleet_counts &fleet, domain_pools pools)
-{
-    const bool closing = std::any_of(m_groups.begin(), m_groups.end(), [&](const auto &each) {
-        return each.second.group.service == service.service && each.second.group.phase == group_phase::Closing;
-    });
-    if (closing || !m_context->trafficStarted || m_now < m_rebalancedAt + rebalanceInterval) {
-        return;
-    }
-    addUpcomingSpares(service, pools);
-    double bestUtility = utilityWhenFilled(utility, fleet, pools) + minRebalanceGain;
-    managed_group *best = nullptr;
-    for (auto &[epoch, each] : m_groups) {
-        const backend_registry::entry *head = findEntry(each.group.head());
-        if (each.group.service != service.service || each.group.phase != group_phase::Open || head == nullptr) {
-            continue;
-        }
-        domain_pools freed = pools;
-        for (const backend_id &member : each.group.members) {
-            if (const backend_registry::entry *entry = findEntry(member)) {
-                freed[head->record.fabricDomain].addSpare({member, entry->record.loaded, entry->record.staged});
-            }
-        }
-        fleet_counts without = fleet;
-        --without.groups[each.group.model];
-        if (const double candidateUtility = utilityWhenFilled(utility, without, freed); candidateUtility > bestUtility) {
-            bestUtility = candidateUtility;
-            best = &each;
-        }
-    }
-    const std::optional<group_epoch> surplus = best == nullptr ? std::nullopt : std::optional(best->group.epoch);
-    if (surplus != m_surplusGroup) {
-        m_surplusGroup = surplus;
-        m_surplusSince = m_now;
-    }
-    if (best != nullptr && m_now >= m_surplusSince + rebalanceDelay) {
-        m_rebalancedAt = m_now;
-        close(*best, false, "rebalancing: its members have more utility in other groups");
-    }
-}
-
-/** Adds standbys that will be ready within upcomingSpareWindow as spares. */
-void group_controller::addUpcomingSpares(const service_settings &service, domain_pools &pools) const
-{
-    for (const auto &[backend, each] : m_standby) {
-        const backend_registry::entry *entry = findEntry(backend);
-        if (entry != nullptr && entry->record.service == service.service && m_now + upcomingSpareWindow >= each.expectedReadyAt) {
-            pools[entry->record.fabricDomain].addSpare({backend, each.model, {}});
-        }
-    }
-}
-
 } // namespace carawayloft
--- a/src/fleet_pipe/group_controller_weights.cpp
+++ b/src/fleet_pipe/group_controller_weights.cpp
@@ -1,6 +1,7 @@
 #include <carawayloft/fleet/group_controller.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace carawayloft {
 
@@ -46,11 +47,12 @@
  * Makes spares without a loaded model standbys: each joins a group of its own that never opens, so that it holds the
  * model and can join another group at once.
  */
-void group_controller::assignStandbys(const service_settings &service, domain_pool &pool, const domain_allocation &target)
+void group_controller::assignStandbys(const service_settings &service, domain_pool &pool, const std::vector<std::size_t> &target)
 {
     const std::vector<model_profile> &models = service.engine->models;
     const auto lacking = [&](const model_profile &model) {
-        return static_cast<std::ptrdiff_t>(target.at(model.model)) - static_cast<std::ptrdiff_t>(pool.holderCount(model.model));
+        const auto index = static_cast<std::size_t>(&model - models.data());
+        return static_cast<std::ptrdiff_t>(target[index]) - static_cast<std::ptrdiff_t>(pool.holderCount(model.model));
     };
     for (const spare_backend &each : pool.spares()) {
         if (!each.loaded.value().empty()) {
@@ -106,32 +108,39 @@
 }
 
 /** The worst-served model among those that the spare would need to load, or nullptr. */
-static const model_profile *modelToStage(const service_settings &service, const fleet_utility &utility, const fleet_counts &fleet, const spare_backend &spare)
+static const model_profile *modelToStage(const service_settings &service, const fleet_utility &utility, const group_counts &groups, const spare_backend &spare)
 {
     // A host that keeps one model would evict the one staged before, unless the engine has it loaded.
     const bool keepsAll = spare.staged.size() < service.engine->maxStagedModels || (spare.staged.size() == 1 && spare.staged.front() == spare.loaded);
+    const std::vector<model_profile> &models = service.engine->models;
     const model_profile *best = nullptr;
-    for (const model_profile &each : service.engine->models) {
-        if (keepsAll && !spare.canServe(each.model)
-            && (best == nullptr || utility.onTimeFraction(each.model, fleet.groups) < utility.onTimeFraction(best->model, fleet.groups))) {
-            best = &each;
+    double bestShare = 0.0;
+    for (std::size_t i = 0; i < models.size(); ++i) {
+        const double share = utility.onTimeFraction(models[i].model, groups[i]);
+        if (keepsAll && !spare.canServe(models[i].model) && (best == nullptr || share < bestShare)) {
+            best = &models[i];
+            bestShare = share;
         }
     }
     return best;
 }
 
 /**
- * Stages an additional model on hosts whose engine holds another one, so that their servers can be reassigned:
- * spares first, then members of groups in domains where a larger model has no spare.
+ * Stages an additional model on hosts whose engine holds another one, so that their servers can be reassigned: spares
+ * first, then members of groups, which can be closed to replace members of a larger group.
  */
 void group_controller::stageAdditionalModels(const service_settings &service,
                                              const fleet_utility &utility,
-                                             const fleet_counts &fleet,
+                                             const fleet_composition &fleet,
                                              const domain_pools &pools)
 {
     const std::size_t keepFree = m_context->trafficStarted ? loadsReservedForEmpty : 0;
+    group_counts groups(service.engine->models.size());
+    for (const auto &[domain, each] : fleet) {
+        std::transform(groups.begin(), groups.end(), each.groups.begin(), groups.begin(), std::plus<>());
+    }
     const auto stage = [&](const spare_backend &spare) {
-        const model_profile *model = modelToStage(service, utility, fleet, spare);
+        const model_profile *model = modelToStage(service, utility, groups, spare);
         if (model != nullptr && !spare.loaded.value().empty() && !m_staging.contains(spare.backend) && mayLoad(service, keepFree)) {
             startStaging(*model, spare.backend);
         }
@@ -141,46 +150,71 @@
             stage(each);
         }
     }
-    for (const auto &[epoch, each] : m_groups) {
-        if (each.group.service != service.service || each.group.phase != group_phase::Open
-            || (m_context->trafficStarted && !shouldStageOnMembers(service, each, pools))) {
-            continue;
-        }
-        for (const backend_id &member : each.group.members) {
-            if (const backend_registry::entry *entry = findEntry(member)) {
-                stage({member, entry->record.loaded, entry->record.staged});
-            }
+    for (const managed_group *group : groupsToStageOn(service, pools)) {
+        for (const spare_backend &each : membersAsSpares(*group)) {
+            stage(each);
         }
     }
 }
 
-/** Whether members of the group should be prepared to replace members of a larger group that has no spare in the domain. */
-bool group_controller::shouldStageOnMembers(const service_settings &service, const managed_group &group, const domain_pools &pools) const
+/** Servers of the domain outside groups of the model that could replace a member of one, or will once they have staged it. */
+std::size_t group_controller::replacementCount(const fabric_domain_id &domain, const domain_pool &pool, const model_profile &model) const
 {
-    const backend_registry::entry *head = findEntry(group.group.head());
-    const auto pool = head == nullptr ? pools.end() : pools.find(head->record.fabricDomain);
-    if (pool == pools.end()) {
-        return false;
+    std::size_t count = pool.readyCount(model.model);
+    for (const auto &[epoch, each] : m_groups) {
+        if (each.group.model == model.model || domainOf(each) != domain) {
+            continue;
+        }
+        for (const spare_backend &member : membersAsSpares(each)) {
+            const auto staging = m_staging.find(member.backend);
+            const bool willServe = staging != m_staging.end() && staging->second.model == model.model;
+            count += member.canServe(model.model) || willServe ? 1 : 0;
+        }
     }
-    return std::any_of(service.engine->models.begin(), service.engine->models.end(), [&](const model_profile &larger) {
-        return larger.hostsPerGroup > group.group.members.size() && pool->second.memberCount(larger.model) > 0 && pool->second.readyCount(larger.model) == 0
-               && !otherGroupHasReplacement(larger, group, head->record.fabricDomain);
-    });
+    return count;
 }
 
-/** Whether another group of the domain has a member that can already serve the model, or that is staging any model. */
-bool group_controller::otherGroupHasReplacement(const model_profile &model, const managed_group &group, const fabric_domain_id &domain) const
+/**
+ * In each domain that lacks replacements for members of a larger model, the group that should stage it: the one that has
+ * the most members with it and not yet all. Domains with the fewest replacements come first.
+ */
+std::vector<const group_controller::managed_group *> group_controller::groupsToStageOn(const service_settings &service, const domain_pools &pools) const
 {
-    return std::any_of(m_groups.begin(), m_groups.end(), [&](const auto &each) {
-        if (each.second.group.model == model.model || each.first == group.group.epoch) {
-            return false;
+    struct candidate {
+        std::size_t replacements = 0;
+        std::ptrdiff_t able = 0;
+        const managed_group *group = nullptr;
+    };
+    std::map<fabric_domain_id, candidate> chosen;
+    for (const auto &[epoch, each] : m_groups) {
+        const auto pool = pools.find(domainOf(each));
+        if (each.group.service != service.service || each.group.phase != group_phase::Open || pool == pools.end()) {
+            continue;
         }
-        return std::any_of(each.second.group.members.begin(), each.second.group.members.end(), [&](const backend_id &member) {
-            const backend_registry::entry *entry = findEntry(member);
-            return entry != nullptr && entry->record.fabricDomain == domain
-                   && (spare_backend{member, entry->record.loaded, entry->record.staged}.canServe(model.model) || m_staging.contains(member));
-        });
-    });
+        const std::vector<spare_backend> members = membersAsSpares(each);
+        for (const model_profile &larger : service.engine->models) {
+            const std::size_t replacements = replacementCount(pool->first, pool->second, larger);
+            const auto able = std::count_if(members.begin(), members.end(), [&](const spare_backend &member) { return member.canServe(larger.model); });
+            const bool isComplete = able == static_cast<std::ptrdiff_t>(members.size());
+            if (larger.hostsPerGroup <= members.size() || replacements >= larger.hostsPerGroup || isComplete) {
+                continue;
+            }
+            candidate &best = chosen[pool->first];
+            if (best.group == nullptr || able > best.able) {
+                best = {replacements, able, &each};
+            }
+        }
+    }
+    std::vector<candidate> sorted;
+    for (const auto &[domain, each] : chosen) {
+        sorted.push_back(each);
+    }
+    std::stable_sort(sorted.begin(), sorted.end(), [](const candidate &one, const candidate &other) { return one.replacements < other.replacements; });
+    std::vector<const managed_group *> groups;
+    for (const candidate &each : sorted) {
+        groups.push_back(each.group);
+    }
+    return groups;
 }
 
 void group_controller::startStaging(const model_profile &model, const backend_id &backend)
--- a/src/fleet_pipe/group_goodput.cpp
+++ b/src/fleet_pipe/group_goodput.cpp
@@ -6,8 +6,9 @@
 
 namespace carawayloft {
 
-/** Standard deviation of prompt lengths over their mean; exponentially distributed lengths have one. */
-static constexpr double promptVariation = 1.0;
+/** Standard deviation of prompt lengths over their mean. Above that of an exponential distribution, whose tail is longer than that of the normal one used here.
+ */
+static constexpr double promptVariation = 1.6;
 
 /** Square of the length of an interval over the variance of a value that is uniformly distributed in it. */
 static constexpr double uniformVarianceDivisor = 12.0;
