Stop watching a socket of libcurl's as soon as libcurl says so

Callers saw a call on a kept connection that the server had closed take a second longer: libcurl repeats it at once on a new connection, whose socket mostly gets the number of the old one, and nothing was read from it until libcurl gave the connection attempt up.

Cause: the handler that was just telling libcurl of the old socket kept our object for it alive, so its registration with the event loop ended only after the new socket of the same number had been registered, and took that registration away.

--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -42,7 +42,15 @@
 
     ~watched_socket()
     {
-        descriptor.release();
+        release();
+    }
+
+    /** Stops watching. Handlers may still hold this object while libcurl has the socket watched anew. */
+    void release()
+    {
+        if (descriptor.is_open()) {
+            descriptor.release();
+        }
     }
 
     asio::posix::stream_descriptor descriptor;
@@ -230,7 +238,10 @@
     {
         auto &self = *static_cast<impl *>(user);
         if (what == CURL_POLL_REMOVE) {
-            self.m_sockets.erase(socket);
+            if (const auto found = self.m_sockets.find(socket); found != self.m_sockets.end()) {
+                found->second->release();
+                self.m_sockets.erase(found);
+            }
             return 0;
         }
         if (self.m_closing) {
