Abandon answers without end on every path that reads from a server

The users' pages say that a server in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. Tried with tests of our own, path by path:

- HTTP client: heads, header lines, informational heads and bytes that are no answer were ended by libcurl's own limits; a body, a chunked body and trailers were read until the call's timeout (HttpClient.ABodyWithoutEnd..., AChunkedBodyWithoutEnd..., TrailersWithoutEnd... failed).
Heads now have a limit of 64 KiB in all, and a call can limit the body.
- Gateway: an answer that is kept until it is whole, and an event of a stream, grew without bound.
- Agent: an event of a stream grew without bound, now abandoned likewise; reports of the load and answers to orders are limited to 64 KiB.
Answers that are passed on were bounded already, by credit.
- Command line: an answer of control is limited to 64 MiB.

--- a/include/carawayloft/backend/answer_relay.h
+++ b/include/carawayloft/backend/answer_relay.h
@@ -43,13 +43,17 @@
     bool paused = false;
 };
 
+/** The backend server sends an event without end: stop reading from it. */
+struct abandon_backend {
+};
+
 struct relay_done {
     bool complete = false;
     bool neverStarted = false;
 };
 
 using relay_input = std::variant<answer_started, answer_bytes_received, answer_finished, answer_failed, credit_granted>;
-using relay_output = std::variant<relay_frame, pause_backend, relay_done>;
+using relay_output = std::variant<relay_frame, pause_backend, abandon_backend, relay_done>;
 
 /**
  * Splits a backend server's answer into numbered chunks and sends them as far as the entry has granted
--- a/include/carawayloft/gateway/stream_splice.h
+++ b/include/carawayloft/gateway/stream_splice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/core/answer_limits.h>
 #include <carawayloft/core/ids.h>
 
 #include <optional>
@@ -33,6 +34,12 @@
         return !m_partialEvent.empty();
     }
 
+    /** Whether the server has sent more than the longest event without ending it. */
+    bool hasEndlessEvent() const
+    {
+        return m_partialEvent.size() > maxEventBytes;
+    }
+
     /** The last event that was passed on. */
     std::optional<stream_event_id> lastEvent() const
     {
--- a/src/backend_pipe/answer_relay.cpp
+++ b/src/backend_pipe/answer_relay.cpp
@@ -1,5 +1,7 @@
 #include <carawayloft/backend/answer_relay.h>
 
+#include <carawayloft/core/answer_limits.h>
+
 namespace carawayloft {
 
 static constexpr const char *eventSeparator = "\n\n";
@@ -42,6 +44,11 @@
     if (m_stream) {
         m_partialEvent += in.bytes;
         splitEvents();
+        if (m_partialEvent.size() > maxEventBytes) {
+            out.emplace_back(abandon_backend{});
+            handle(answer_failed{}, out);
+            return;
+        }
     } else {
         m_unsentChunks.push_back(in.bytes);
     }
--- a/src/backend_pipe/backend_pipe.cpp
+++ b/src/backend_pipe/backend_pipe.cpp
@@ -187,6 +187,7 @@
                    [&](const pause_backend &pause) {
                        emit(pause_backend_call{key, pause.paused});
                    },
+                   [&](const abandon_backend &) { emit(cancel_backend_call{key}); },
                    [&](const relay_done &done) {
                        m_active.erase(key);
                        if (done.neverStarted) {
--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -9,6 +9,9 @@
 static constexpr long connectTimeoutMs = 1'000;
 static constexpr long timeoutMs = 5'000;
 
+/** Longest answer of a control replica; the largest holds the whole state. */
+static constexpr std::size_t maxAnswerBytes = std::size_t{64} << 20U;
+
 /** Rounds over all replicas while an election is under way, and the pause between them. */
 static constexpr int rounds = 20;
 static constexpr int roundPauseMs = 250;
@@ -25,9 +28,14 @@
 
 } // namespace
 
+/** Appends to the body of the answer; a longer one than maxAnswerBytes ends the call. */
 static std::size_t collect(const char *bytes, std::size_t size, std::size_t count, void *user)
 {
-    static_cast<std::string *>(user)->append(bytes, size * count);
+    auto &body = *static_cast<std::string *>(user);
+    if (body.size() + size * count > maxAnswerBytes) {
+        return 0;
+    }
+    body.append(bytes, size * count);
     return size * count;
 }
 
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -23,6 +23,10 @@
     std::string body;
     http_client::handler handle;
     http_headers received;
+    std::size_t headBytes = 0;
+    std::size_t bodyBytes = 0;
+    std::size_t maxBodyBytes = 0;
+    const char *failure = nullptr; /**< Why this end broke the call off. */
     bool started = false;
     bool paused = false;
 
@@ -93,6 +97,7 @@
         one->id = m_next = carawayloft::next(m_next);
         one->easy = curl_easy_init();
         one->body = call.body;
+        one->maxBodyBytes = call.maxBodyBytes;
         one->handle = std::move(handle);
         configure(*one, call);
         m_transfers.emplace(one->id, one);
@@ -195,6 +200,11 @@
     {
         auto &one = *static_cast<transfer *>(user);
         std::string_view line(bytes, size * count);
+        one.headBytes += line.size();
+        if (one.headBytes > maxHeadBytes) {
+            one.failure = "the head of the answer is too long";
+            return 0;
+        }
         if (line.starts_with("HTTP/")) {
             one.received.clear();
             return size * count;
@@ -229,6 +239,11 @@
         if (one.paused) {
             return CURL_WRITEFUNC_PAUSE;
         }
+        one.bodyBytes += size * count;
+        if (one.maxBodyBytes > 0 && one.bodyBytes > one.maxBodyBytes) {
+            one.failure = "the body of the answer is too long";
+            return 0;
+        }
         reportStart(one);
         one.handle(http_received{std::string(bytes, size * count)});
         return size * count;
@@ -339,7 +354,8 @@
         long sentBytes = 0;
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
         const bool neverSent = sentBytes == 0 && !one->started;
-        one->handle(http_failed{{error_kind::ConnectionFailed, curl_easy_strerror(code), "check that the server there runs"}, neverSent});
+        const char *failure = one->failure == nullptr ? curl_easy_strerror(code) : one->failure;
+        one->handle(http_failed{{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent});
     }
 
     asio::io_context &m_context;
--- a/src/ends/http_client.h
+++ b/src/ends/http_client.h
@@ -19,6 +19,7 @@
     std::string body;
     duration timeout{0}; /**< For the whole call; zero for none. */
     bool freshConnection = false; /**< Never reuse one, which libcurl would replace and repeat the call on if it is dead. */
+    std::size_t maxBodyBytes = 0; /**< A longer body of the answer fails the call; zero for no limit. */
 };
 
 struct http_started {
@@ -46,6 +47,9 @@
 class http_client
 {
 public:
+    /** A longer head of an answer, informational ones and trailers included, fails the call. */
+    static constexpr std::size_t maxHeadBytes = std::size_t{64} << 10U;
+
     using handler = std::function<void(http_event)>;
 
     static std::unique_ptr<http_client> create(asio::io_context &context);
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -314,12 +314,16 @@
     }
     if (!context->isStreaming) {
         context->body += in.bytes;
+        if (context->body.size() > maxWholeAnswerBytes) {
+            emit(cancel_call{in.call});
+            handleCallFailure(*context, true, "the answer is too long");
+        }
         return;
     }
     std::string events = context->splice.append(in.bytes);
-    if (context->splice.hasGap()) {
+    if (context->splice.hasGap() || context->splice.hasEndlessEvent()) {
         emit(cancel_call{in.call});
-        handleCallFailure(*context, true, "an event is missing in the stream");
+        handleCallFailure(*context, true, context->splice.hasGap() ? "an event is missing in the stream" : "an event of the stream is too long");
         return;
     }
     if (!events.empty()) {
--- a/src/tasks/agent_task.cpp
+++ b/src/tasks/agent_task.cpp
@@ -20,6 +20,9 @@
 static constexpr unsigned maxFailedPolls = 3;
 static constexpr duration orderTimeout{600'000};
 
+/** Longest report of the load and longest answer to an order. */
+static constexpr std::size_t maxBackendMessageBytes = std::size_t{64} << 10U;
+
 static backend_pipe_options pipeOptions(const settings &loaded)
 {
     std::random_device entropy;
@@ -160,7 +163,7 @@
     }
     m_polling = true;
     auto body = std::make_shared<std::string>();
-    m_client->start({"GET", m_backendUrl + "/load", {}, {}, pollTimeout}, [this, body](const http_event &event) {
+    m_client->start({"GET", m_backendUrl + "/load", {}, {}, pollTimeout, false, maxBackendMessageBytes}, [this, body](const http_event &event) {
         std::visit(overloaded{
                        [](const http_started &) {},
                        [&](const http_received &received) { *body += received.bytes; },
@@ -260,7 +263,8 @@
 
 void agent_task::execute(const send_serve_order &out)
 {
-    const http_call call{"POST", m_backendUrl + "/orders", {{"Content-Type", "application/json"}}, encodeOrder(out), orderTimeout};
+    const http_call call{
+        "POST", m_backendUrl + "/orders", {{"Content-Type", "application/json"}}, encodeOrder(out), orderTimeout, false, maxBackendMessageBytes};
     const group_epoch epoch = out.epoch;
     auto accepted = std::make_shared<bool>(false);
     m_client->start(call, [this, epoch, accepted](const http_event &event) {
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -1,4 +1,5 @@
 #include <carawayloft/backend/answer_relay.h>
+#include <carawayloft/core/answer_limits.h>
 
 #include "support/properties.h"
 
@@ -91,3 +92,17 @@
     ASSERT_EQ(out.size(), 1U);
     EXPECT_TRUE(std::get<relay_done>(out[0]).neverStarted);
 }
+
+TEST(AnswerRelay, AnEventWithoutEndIsAbandoned)
+{
+    answer_relay relay(makeRequest(true, 100), {});
+    relay.step(answer_started{200, "text/event-stream"}, {});
+    std::vector<relay_output> outputs;
+    for (std::size_t sent = 0; sent <= maxEventBytes && outputs.empty(); sent += 4'096) {
+        outputs = relay.step(answer_bytes_received{std::string(4'096, 'x')}, {});
+    }
+    ASSERT_EQ(outputs.size(), 3U);
+    EXPECT_TRUE(std::holds_alternative<abandon_backend>(outputs[0]));
+    EXPECT_EQ(std::get<answer_end>(std::get<relay_frame>(outputs[1]).frame).ending, answer_ending::Broken);
+    EXPECT_FALSE(std::get<relay_done>(outputs[2]).complete);
+}
--- /dev/null
+++ b/tests/ends/http_client_test.cpp
@@ -0,0 +1,231 @@
+#include "ends/http_client.h"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+using namespace carawayloft;
+
+namespace {
+
+/** A server on the loopback interface that answers every request with the same bytes, then repeats others until the caller closes. */
+class endless_server
+{
+public:
+    endless_server(asio::io_context &context, std::string answer, std::string repeated)
+        : m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_answer(std::move(answer))
+        , m_repeated(std::move(repeated))
+    {
+        accept();
+    }
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()) + "/";
+    }
+
+    bool isClosed() const
+    {
+        return m_isClosed;
+    }
+
+    /** Closes the connection of the next request instead of an answer. */
+    void closeAtNextRequest()
+    {
+        m_closesNext = true;
+    }
+
+private:
+    struct connection {
+        explicit connection(asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
+        asio::ip::tcp::socket socket;
+        asio::streambuf request;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const std::error_code &failure, asio::ip::tcp::socket socket) {
+            if (!failure) {
+                serve(std::make_shared<connection>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+
+    void serve(const std::shared_ptr<connection> &one)
+    {
+        asio::async_read_until(one->socket, one->request, "\r\n\r\n", [this, one](const std::error_code &failure, std::size_t size) {
+            if (!failure) {
+                one->request.consume(size);
+                answer(one);
+            }
+        });
+    }
+
+    void answer(const std::shared_ptr<connection> &one)
+    {
+        if (std::exchange(m_closesNext, false)) {
+            return;
+        }
+        std::error_code failure;
+        asio::write(one->socket, asio::buffer(m_answer), failure);
+        if (m_repeated.empty()) {
+            serve(one);
+        } else {
+            repeat(one);
+        }
+    }
+
+    void repeat(const std::shared_ptr<connection> &one)
+    {
+        asio::async_write(one->socket, asio::buffer(m_repeated), [this, one](const std::error_code &failure, std::size_t) {
+            if (failure) {
+                m_isClosed = true;
+            } else {
+                repeat(one);
+            }
+        });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::string m_answer;
+    std::string m_repeated;
+    bool m_closesNext = false;
+    bool m_isClosed = false;
+};
+
+struct call_result {
+    bool finished = false;
+    bool failed = false;
+    std::string why;
+    std::size_t bodyBytes = 0;
+};
+
+class HttpClient : public ::testing::Test
+{
+protected:
+    void startCall(const http_call &call, call_result &result)
+    {
+        client->start(call, [&result](const http_event &event) {
+            if (const auto *received = std::get_if<http_received>(&event)) {
+                result.bodyBytes += received->bytes.size();
+            } else if (const auto *failure = std::get_if<http_failed>(&event)) {
+                result.failed = true;
+                result.why = failure->why.what;
+            } else if (std::holds_alternative<http_finished>(event)) {
+                result.finished = true;
+            }
+        });
+    }
+
+    /** Runs until @p done, or until the patience of the test is over. */
+    template<class Condition>
+    void runUntil(const Condition &done)
+    {
+        const auto until = std::chrono::steady_clock::now() + patience;
+        while (!done() && std::chrono::steady_clock::now() < until) {
+            context.run_one_for(std::chrono::milliseconds(50));
+        }
+    }
+
+    /** Calls a server that never ends its answer, and expects the call to fail and the connection to be closed before the timeout. */
+    void expectAbandoned(const std::string &answer, const std::string &repeated, std::size_t maxBodyBytes)
+    {
+        endless_server server(context, answer, repeated);
+        http_call call;
+        call.url = server.url();
+        call.timeout = std::chrono::duration_cast<duration>(2 * patience);
+        call.maxBodyBytes = maxBodyBytes;
+        call_result result;
+        startCall(call, result);
+        runUntil([&] { return result.failed && server.isClosed(); });
+        EXPECT_TRUE(result.failed);
+        EXPECT_TRUE(server.isClosed());
+        EXPECT_LE(result.bodyBytes, maxBodyBytes);
+    }
+
+    static constexpr std::chrono::seconds patience{5};
+
+    asio::io_context context;
+    std::unique_ptr<http_client> client = http_client::create(context);
+};
+
+const std::string manyBytes(4'096, 'x');
+
+} // namespace
+
+TEST_F(HttpClient, AHeadWithoutEndFailsTheCall)
+{
+    expectAbandoned("HTTP/1.1 200 OK\r\n", "X-More: " + std::string(100, 'x') + "\r\n", 0);
+}
+
+TEST_F(HttpClient, AHeaderLineWithoutEndFailsTheCall)
+{
+    expectAbandoned("HTTP/1.1 200 OK\r\nX-Long: ", manyBytes, 0);
+}
+
+TEST_F(HttpClient, InformationalHeadsWithoutEndFailTheCall)
+{
+    expectAbandoned("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n", 0);
+}
+
+TEST_F(HttpClient, BytesThatAreNoAnswerFailTheCall)
+{
+    expectAbandoned(manyBytes, manyBytes, 0);
+}
+
+TEST_F(HttpClient, ABodyWithoutEndFailsTheCall)
+{
+    expectAbandoned("HTTP/1.1 200 OK\r\n\r\n", manyBytes, 65'536);
+}
+
+TEST_F(HttpClient, AChunkedBodyWithoutEndFailsTheCall)
+{
+    expectAbandoned("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + manyBytes + "\r\n", 65'536);
+}
+
+TEST_F(HttpClient, TrailersWithoutEndFailTheCall)
+{
+    expectAbandoned("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: " + std::string(100, 'x') + "\r\n", 65'536);
+}
+
+TEST_F(HttpClient, BytesAfterACompleteAnswerEndTheConnection)
+{
+    endless_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", manyBytes);
+    http_call call;
+    call.url = server.url();
+    call_result result;
+    startCall(call, result);
+    runUntil([&] { return result.finished && server.isClosed(); });
+    EXPECT_TRUE(result.finished);
+    EXPECT_TRUE(server.isClosed());
+    EXPECT_EQ(result.bodyBytes, 2U);
+}
+
+TEST_F(HttpClient, ACallOnADeadConnectionIsRepeatedOnANewOne)
+{
+    endless_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
+    http_call call;
+    call.url = server.url();
+    call.timeout = duration(2'000);
+    call_result first;
+    startCall(call, first);
+    runUntil([&] { return first.finished; });
+    ASSERT_TRUE(first.finished);
+    server.closeAtNextRequest();
+    call_result second;
+    call.timeout = duration(500); // Shorter than the time to give up a connection attempt.
+    startCall(call, second);
+    runUntil([&] { return second.finished || second.failed; });
+    EXPECT_TRUE(second.finished) << second.why;
+}
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -559,3 +559,31 @@
     tick();
     EXPECT_TRUE(outputsOf<call_backend>().empty());
 }
+
+TEST_F(GatewayPipe, AnAnswerWithoutEndIsAbandoned)
+{
+    const call_backend call = startCall(1, "/records/x");
+    answer(call, 200, false);
+    bool cancelled = false;
+    for (std::size_t sent = 0; sent <= maxWholeAnswerBytes && !cancelled; sent += 65'536) {
+        step(backend_bytes_received{call.call, std::string(65'536, 'x')});
+        cancelled = !outputsOf<cancel_call>().empty();
+    }
+    EXPECT_TRUE(cancelled);
+    EXPECT_EQ(outputsOf<call_backend>().size(), 1U); // Another server gets the request.
+}
+
+TEST_F(GatewayPipe, AStreamedEventWithoutEndIsAbandoned)
+{
+    const call_backend call = startCall(1, "/draft/x");
+    answer(call, 200, true);
+    step(backend_bytes_received{call.call, event(1)});
+    bool cancelled = false;
+    for (std::size_t sent = 0; sent <= maxEventBytes && !cancelled; sent += 4'096) {
+        step(backend_bytes_received{call.call, std::string(4'096, 'x')});
+        cancelled = !outputsOf<cancel_call>().empty();
+    }
+    EXPECT_TRUE(cancelled);
+    ASSERT_EQ(outputsOf<call_backend>().size(), 1U);
+    EXPECT_EQ(outputsOf<call_backend>().front().resumeAfter, stream_event_id(1));
+}
