Probe a group's members only when its silence is out of the ordinary

Cause: a gateway suspected a group after 1.3 expected iterations without an event. The length of an iteration varies with the prompts that arrive, so a busy group exceeds that every few iterations, and a gateway whose only requests there still wait for their first event sees nothing for two. Each suspicion connects to every member, 16 at a large group.

Now the silence that is ordinary follows from the measured spread of iteration lengths (2.5 standard deviations), and counts two iterations while no answer for this gateway has begun.

--- a/include/carawayloft/gateway/group_monitor.h
+++ b/include/carawayloft/gateway/group_monitor.h
@@ -114,6 +114,7 @@
     double otherTokens(duration time) const;
     double otherBacklog(time_point now) const;
     duration iterationAge(time_point now) const;
+    bool hasAnswer() const;
     unread_prompts estimatedUnread(time_point now) const;
     engine_duration typicalIterationTime(time_point now) const;
     engine_duration currentIterationTime(time_point now) const;
@@ -133,6 +134,7 @@
     double m_silenceFactor = 1.0; /**< Factor on the silence after which members are probed. */
     engine_duration m_observedIteration{0}; /**< Moving average. */
     engine_duration m_expectedIteration{0}; /**< Moving average of what the published figures gave for the same iterations. */
+    double m_iterationVariance = 0.0; /**< Moving average of the squared difference of the two, in square milliseconds. */
     double m_slowdown = 1.0; /**< Factor by which iterations take longer than the published figures. */
 };
 
--- a/src/gateway_pipe/group_monitor.cpp
+++ b/src/gateway_pipe/group_monitor.cpp
@@ -5,10 +5,13 @@
 
 namespace carawayloft {
 
-/** Silence in iterations that is normal, plus a margin for the network and for prompts unknown to this gateway. */
-static constexpr double silentIterations = 1.3;
+/** Silence beyond an iteration that is normal: standard deviations of its length, and a margin for the network. */
+static constexpr double silentDeviations = 2.5;
 static constexpr engine_duration silenceMargin{20};
 
+/** Iterations without an event that are normal while no answer for this gateway has begun: the rest of one, and the next. */
+static constexpr double iterationsToFirstEvent = 2.0;
+
 /** Minimum silence before a probe: reading long prompts of other gateways takes this long. */
 static constexpr engine_duration minSuspectSilence{70};
 
@@ -80,6 +83,8 @@
         m_observedIteration += iterationWeight * (std::min(elapsed, expectedIteration * maxSlowdown) - m_observedIteration);
         m_expectedIteration += iterationWeight * (expectedIteration - m_expectedIteration);
         m_slowdown = std::max(1.0, m_observedIteration / m_expectedIteration);
+        const double deviation = std::min(elapsed.count(), maxSlowdown * expectedIteration.count()) - m_slowdown * expectedIteration.count();
+        m_iterationVariance += iterationWeight * (deviation * deviation - m_iterationVariance);
     }
     m_silenceFactor = std::max(1.0, m_silenceFactor * silenceFactorDecay);
     found->second.answerStarted = true;
@@ -158,8 +163,13 @@
 duration group_monitor::iterationAge(time_point now) const
 {
     const duration typical = std::chrono::ceil<duration>(typicalIterationTime(now));
-    const bool isObserved = std::any_of(m_calls.begin(), m_calls.end(), [](const auto &each) { return each.second.answerStarted; });
-    return isObserved ? std::min(typical, silence(now)) : typical / 2;
+    return hasAnswer() ? std::min(typical, silence(now)) : typical / 2;
+}
+
+/** Whether an answer for this gateway has begun, so that every iteration brings an event. */
+bool group_monitor::hasAnswer() const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(), [](const auto &each) { return each.second.answerStarted; });
 }
 
 group_monitor::unread_prompts group_monitor::estimatedUnread(time_point now) const
@@ -196,7 +206,9 @@
 
 engine_duration group_monitor::suspectSilence(time_point now) const
 {
-    return std::max(minSuspectSilence, silenceMargin + silentIterations * currentIterationTime(now)) * m_silenceFactor;
+    const engine_duration deviation(std::sqrt(m_iterationVariance));
+    const engine_duration iterations = currentIterationTime(now) * (hasAnswer() ? 1.0 : iterationsToFirstEvent);
+    return std::max(minSuspectSilence, silenceMargin + iterations + silentDeviations * deviation) * m_silenceFactor;
 }
 
 bool group_monitor::isSuspect(time_point now) const
@@ -244,7 +256,7 @@
     group_load own{epoch, static_cast<std::uint32_t>(m_calls.size()), 0, now < m_progressAt + progressWindow, promptTokensSince(now - rateWindow)};
     own.prefillTokens = ownPrefillTokens(time_point::min(), now);
     // The progress time is also set by the first call, which is no progress of the group.
-    own.progressing = own.progressing && std::any_of(m_calls.begin(), m_calls.end(), [](const auto &each) { return each.second.answerStarted; });
+    own.progressing = own.progressing && hasAnswer();
     return own;
 }
 
