Count outages where the groups are: one domain's last spare is not worth a group

Cause: the utility mixed two fleets, one in which every group has a spare and one in which none has, by the share of domains with one. So a domain without a spare made the outages of all groups longer, those elsewhere included, and that outweighed a whole group.

Now each group has the outage of its own domain, and the number of serving groups follows from both kinds.

--- a/include/carawayloft/fleet/fleet_utility.h
+++ b/include/carawayloft/fleet/fleet_utility.h
@@ -4,6 +4,7 @@
 #include <carawayloft/fleet/fleet_traffic.h>
 #include <carawayloft/fleet/group_goodput.h>
 
+#include <compare>
 #include <vector>
 
 namespace carawayloft {
@@ -30,6 +31,15 @@
     }
 
 private:
+    /** Groups of one model. */
+    struct model_groups {
+        std::size_t withSpare = 0; /**< In domains with a spare. */
+        std::size_t withoutSpare = 0;
+
+        friend auto operator<=>(const model_groups &, const model_groups &) = default;
+    };
+    using fleet_groups = std::vector<model_groups>; /**< In the order of the engine's models. */
+
     /** Demand for a model, and what numbers of groups make of it. */
     struct model_demand {
         double requestsPerSecond = 0.0;
@@ -37,14 +47,15 @@
         group_goodput goodput;
         double outageWithSpare = 0.0; /**< Fraction of the time that a group is out, if its domain has a spare. */
         double outageWithoutSpare = 0.0;
-        mutable std::vector<double> shareWithSpares; /**< Expected on-time share by number of groups. */
-        mutable std::vector<double> shareWithoutSpares;
+        mutable std::vector<double> shares; /**< On-time share by number of serving groups. */
+        mutable std::map<model_groups, double> expectedShares; /**< Over the outages of the groups. */
     };
 
-    double expectedWork(const group_counts &groups, double spareShare) const;
-    double workAfterGroupLoss(const group_counts &groups, double spareShare) const;
-    double workAfterDomainLoss(const fleet_composition &fleet, const group_counts &groups, double spareShare) const;
-    double expectedShare(const model_demand &demand, std::size_t groups, double spareShare) const;
+    double expectedWork(const fleet_groups &groups) const;
+    double workAfterGroupLoss(const fleet_groups &groups) const;
+    double workAfterDomainLoss(const fleet_composition &fleet, const fleet_groups &groups) const;
+    static double shareOf(const model_demand &demand, std::size_t groups);
+    static double expectedShare(const model_demand &demand, const model_groups &groups);
 
     const engine_profile *m_engine;
     std::vector<model_demand> m_demands; /**< In the order of the engine's models. */
--- a/src/fleet_pipe/fleet_utility.cpp
+++ b/src/fleet_pipe/fleet_utility.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 
 namespace carawayloft {
 
@@ -17,7 +16,7 @@
 
 /** Time for which a group is out after the loss of a member, if a spare replaces it and if a server must load the model first. */
 static constexpr std::chrono::duration<double> repairTimeWithSpare{2.0};
-static constexpr std::chrono::duration<double> repairTimeWithoutSpare{12.0};
+static constexpr std::chrono::duration<double> repairTimeWithoutSpare{8.0};
 
 /** Longest outage that is assumed of a group, as a fraction of the time. */
 static constexpr double maxOutage = 0.4;
@@ -47,51 +46,59 @@
     }
 }
 
-/** Fraction on time of a demand that @p groups share. */
-static double shareOfGroups(const group_goodput &goodput, double requestsPerSecond, std::size_t groups)
+/** Fraction on time if this many groups serve. */
+double fleet_utility::shareOf(const model_demand &demand, std::size_t groups)
 {
-    if (requestsPerSecond <= 0.0) {
+    if (demand.requestsPerSecond <= 0.0) {
         return 1.0;
     }
-    return groups == 0 ? 0.0 : goodput.onTimeShare(requestsPerSecond / static_cast<double>(groups));
-}
-
-/** Mean on-time share while each of the groups is out for this fraction of the time, independently of the others. */
-static double meanShare(const group_goodput &goodput, double requestsPerSecond, std::size_t groups, double outage)
-{
-    double sum = 0.0;
-    double probability = std::pow(1.0 - outage, static_cast<double>(groups)); // That none is out.
-    for (std::size_t out = 0; out <= groups; ++out) {
-        sum += probability * shareOfGroups(goodput, requestsPerSecond, groups - out);
-        probability *= outage / (1.0 - outage) * static_cast<double>(groups - out) / static_cast<double>(out + 1);
+    while (demand.shares.size() <= groups) {
+        const auto count = static_cast<double>(demand.shares.size());
+        demand.shares.push_back(demand.shares.empty() ? 0.0 : demand.goodput.onTimeShare(demand.requestsPerSecond / count));
     }
-    return sum;
+    return demand.shares[groups];
 }
 
 double fleet_utility::onTimeFraction(const model_id &model, std::size_t groups) const
 {
     const auto found = std::find_if(models().begin(), models().end(), [&](const model_profile &each) { return each.model == model; });
-    const model_demand &demand = m_demands.at(static_cast<std::size_t>(found - models().begin()));
-    return shareOfGroups(demand.goodput, demand.requestsPerSecond, groups);
+    return shareOf(m_demands.at(static_cast<std::size_t>(found - models().begin())), groups);
 }
 
-/** Mean on-time share over the outages of single groups, of which @p spareShare have a spare in their domain. */
-double fleet_utility::expectedShare(const model_demand &demand, std::size_t groups, double spareShare) const
+/** Probability of each number of serving groups, if each is out for this fraction of the time independently of the others. */
+static std::vector<double> servingProbabilities(std::size_t groups, double outage)
 {
-    while (demand.shareWithSpares.size() <= groups) {
-        const std::size_t count = demand.shareWithSpares.size();
-        demand.shareWithSpares.push_back(meanShare(demand.goodput, demand.requestsPerSecond, count, demand.outageWithSpare));
-        demand.shareWithoutSpares.push_back(meanShare(demand.goodput, demand.requestsPerSecond, count, demand.outageWithoutSpare));
+    std::vector<double> probabilities(groups + 1);
+    probabilities[groups] = std::pow(1.0 - outage, static_cast<double>(groups));
+    for (std::size_t serving = groups; serving > 0; --serving) {
+        const auto out = static_cast<double>(groups - serving + 1);
+        probabilities[serving - 1] = probabilities[serving] * outage / (1.0 - outage) * static_cast<double>(serving) / out;
     }
-    return spareShare * demand.shareWithSpares[groups] + (1.0 - spareShare) * demand.shareWithoutSpares[groups];
+    return probabilities;
 }
 
-double fleet_utility::expectedWork(const group_counts &groups, double spareShare) const
+/** Mean fraction on time over the outages of single groups. */
+double fleet_utility::expectedShare(const model_demand &demand, const model_groups &groups)
+{
+    const auto [found, isNew] = demand.expectedShares.try_emplace(groups, 0.0);
+    if (isNew) {
+        const std::vector<double> withSpare = servingProbabilities(groups.withSpare, demand.outageWithSpare);
+        const std::vector<double> withoutSpare = servingProbabilities(groups.withoutSpare, demand.outageWithoutSpare);
+        for (std::size_t i = 0; i < withSpare.size(); ++i) {
+            for (std::size_t j = 0; j < withoutSpare.size(); ++j) {
+                found->second += withSpare[i] * withoutSpare[j] * shareOf(demand, i + j);
+            }
+        }
+    }
+    return found->second;
+}
+
+double fleet_utility::expectedWork(const fleet_groups &groups) const
 {
     double sum = 0.0;
     double worst = 1.0;
     for (std::size_t i = 0; i < m_demands.size(); ++i) {
-        const double share = expectedShare(m_demands[i], groups[i], spareShare);
+        const double share = expectedShare(m_demands[i], groups[i]);
         sum += m_demands[i].work * share;
         worst = std::min(worst, share);
     }
@@ -99,45 +106,48 @@
 }
 
 /** Work expected after the loss of one group of the model whose loss hurts most. */
-double fleet_utility::workAfterGroupLoss(const group_counts &groups, double spareShare) const
+double fleet_utility::workAfterGroupLoss(const fleet_groups &groups) const
 {
-    double least = expectedWork(groups, spareShare);
+    double least = expectedWork(groups);
     for (std::size_t i = 0; i < groups.size(); ++i) {
-        if (groups[i] > 0) {
-            group_counts without = groups;
-            --without[i];
-            least = std::min(least, expectedWork(without, spareShare));
+        fleet_groups without = groups;
+        std::size_t &lost = without[i].withSpare > 0 ? without[i].withSpare : without[i].withoutSpare;
+        if (lost > 0) {
+            --lost;
+            least = std::min(least, expectedWork(without));
         }
     }
     return least;
 }
 
 /** Work expected after the loss of the fabric domain whose loss hurts most. */
-double fleet_utility::workAfterDomainLoss(const fleet_composition &fleet, const group_counts &groups, double spareShare) const
+double fleet_utility::workAfterDomainLoss(const fleet_composition &fleet, const fleet_groups &groups) const
 {
-    double least = expectedWork(groups, spareShare);
+    double least = expectedWork(groups);
     for (const auto &[domain, each] : fleet) {
-        group_counts without = groups;
-        std::transform(without.begin(), without.end(), each.groups.begin(), without.begin(), std::minus<>());
-        least = std::min(least, expectedWork(without, spareShare));
+        fleet_groups without = groups;
+        for (std::size_t i = 0; i < without.size(); ++i) {
+            (each.hasSpare ? without[i].withSpare : without[i].withoutSpare) -= each.groups[i];
+        }
+        least = std::min(least, expectedWork(without));
     }
     return least;
 }
 
 double fleet_utility::of(const fleet_composition &fleet) const
 {
-    group_counts groups(m_demands.size());
-    std::size_t spares = 0;
+    fleet_groups groups(m_demands.size());
     for (const auto &[domain, each] : fleet) {
-        spares += each.hasSpare ? 1 : 0;
-        std::transform(groups.begin(), groups.end(), each.groups.begin(), groups.begin(), std::plus<>());
+        for (std::size_t i = 0; i < groups.size(); ++i) {
+            (each.hasSpare ? groups[i].withSpare : groups[i].withoutSpare) += each.groups[i];
+        }
     }
-    const double spareShare = fleet.empty() ? 0.0 : static_cast<double>(spares) / static_cast<double>(fleet.size());
-    double utility = (1.0 - groupLossWeight - domainLossWeight) * expectedWork(groups, spareShare);
-    utility += groupLossWeight * workAfterGroupLoss(groups, spareShare);
-    utility += domainLossWeight * workAfterDomainLoss(fleet, groups, spareShare);
+    double utility = (1.0 - groupLossWeight - domainLossWeight) * expectedWork(groups);
+    utility += groupLossWeight * workAfterGroupLoss(groups);
+    utility += domainLossWeight * workAfterDomainLoss(fleet, groups);
     for (std::size_t i = 0; i < groups.size(); ++i) {
-        utility -= m_demands[i].work > 0.0 && groups[i] == 0 ? unservedModelPenalty * m_totalWork : 0.0;
+        const bool isUnserved = m_demands[i].work > 0.0 && groups[i] == model_groups();
+        utility -= isUnserved ? unservedModelPenalty * m_totalWork : 0.0;
     }
     return utility;
 }
--- a/tests/fleet/model_allocation_test.cpp
+++ b/tests/fleet/model_allocation_test.cpp
@@ -122,6 +122,25 @@
     EXPECT_EQ(formDomainGroups(utility, fleet, domain, pool, {0, 2}).size(), 1U);
 }
 
+TEST(FormDomainGroups, FormsAGroupThatIsShortThoughItTakesTheLastSpare)
+{
+    engine_profile engine = makeEngine(16, 4);
+    engine.slots = 46;
+    engine.stepsPerIteration = 7;
+    const fleet_utility utility(
+        engine,
+        {{largeModel, {largeModel, 40.0, 1'600.0, 120.0, engine_duration(330)}}, {smallModel, {smallModel, 300.0, 700.0, 190.0, engine_duration(200)}}});
+    fleet_composition fleet = oneDomain({0, 5}, true);
+    for (const char *other : {"d1", "d2", "d3"}) {
+        fleet[fabric_domain_id(other)] = {{1, 5}, true};
+    }
+    domain_pool pool;
+    for (int i = 0; i < 16; ++i) {
+        pool.addSpare(spareWith(i, largeModel));
+    }
+    EXPECT_EQ(formDomainGroups(utility, fleet, domain, pool, {1, 5}).size(), 1U);
+}
+
 TEST(FormDomainGroups, KeepsServersAsSparesWhenAGroupWouldHaveNoTraffic)
 {
     const engine_profile engine = makeEngine(2, 2);
