Name every kind of message, so that a wrong first frame does not end the process

A peer whose first frame is publish_fleet, gateway_report or gateway_grant instead of hello made the process append a null pointer to the error message, and most likely end. Cause: 26 names stood for 29 kinds, and the array filled the rest with null.

--- a/src/codec/frame_codec.cpp
+++ b/src/codec/frame_codec.cpp
@@ -43,12 +43,13 @@
 
 const char *kindOf(const peer_message &message)
 {
-    static constexpr std::array<const char *, std::variant_size_v<peer_message>> names{
-        "hello",           "dispatch_request", "cancel_request",   "grant_credit",         "request_refused",    "answer_head",
-        "answer_chunk",    "answer_end",       "load_report",      "member_lease_request", "member_lease_grant", "lease_renewal",
-        "lease_grant",     "subscribe",        "not_leader",       "publish_snapshot",     "publish_change",     "confirm_revision",
-        "announce_host",   "open_claim_call",  "close_claim_call", "claim_call_reply",     "log_traffic",        "formation_probe",
-        "formation_reply", "join_request"};
+    static constexpr auto names = std::to_array<const char *>(
+        {"hello",           "dispatch_request", "cancel_request",   "grant_credit",         "request_refused",    "answer_head",
+         "answer_chunk",    "answer_end",       "load_report",      "member_lease_request", "member_lease_grant", "lease_renewal",
+         "lease_grant",     "subscribe",        "not_leader",       "publish_snapshot",     "publish_change",     "confirm_revision",
+         "announce_host",   "open_claim_call",  "close_claim_call", "claim_call_reply",     "log_traffic",        "formation_probe",
+         "formation_reply", "join_request",     "publish_fleet",    "gateway_report",       "gateway_grant"});
+    static_assert(names.size() == std::variant_size_v<peer_message>);
     return names[message.index()];
 }
 
--- a/tests/codec/frame_codec_test.cpp
+++ b/tests/codec/frame_codec_test.cpp
@@ -83,6 +83,8 @@
 {
     EXPECT_STREQ(kindOf(hello{}), "hello");
     EXPECT_STREQ(kindOf(join_request{}), "join_request");
+    EXPECT_STREQ(kindOf(publish_fleet{}), "publish_fleet");
+    EXPECT_STREQ(kindOf(gateway_grant{}), "gateway_grant");
     EXPECT_STREQ(kindOf(lease_grant{}), "lease_grant");
 }
 
