--- a/tests/process/platform_core_test.cpp
+++ b/tests/process/platform_core_test.cpp
@@ -1,6 +1,7 @@
 #include "process/platform_processes.h"
 
 #include <array>
+#include <csignal>
 
 using namespace carawayloft::test_support;
 
@@ -50,6 +51,20 @@
         return false;
     }
 
+    /** Whether a replica reads back this version of the configuration, and none an older one. */
+    bool allHold(int version) const
+    {
+        bool held = false;
+        for (int host = 1; host <= replicas; ++host) {
+            const http_answer answer = get(coreAddress(host) + "/-/config");
+            if (answer.status == 200) {
+                EXPECT_EQ(answer.body, configuration(version));
+                held = true;
+            }
+        }
+        return held;
+    }
+
     std::array<std::unique_ptr<child>, replicas> m_processes;
 };
 
@@ -89,3 +104,31 @@
     const std::unique_ptr<child> replacement = start(nameOf(4), "false");
     await("the replacement is part of the log", [this] { return metric(4, "carawayloft_log_voters") >= 1; });
 }
+
+TEST_F(PlatformCore, AnAcknowledgedChangeSurvivesALostDiskWhileAllOthersLosePower)
+{
+    write("front", common() + "nodeName=front\nserves=front\nip=" + net() + "9\nlisten.front=" + net() + "9:8227\nlisten.ready=" + net() + "9:8220\n");
+    int version = 1;
+    for (int lost = 1; lost <= replicas; ++lost) {
+        const std::unique_ptr<child> gateway = start("front", "false");
+        await("the gateway is ready", [this] { return get(net() + "9:8220/-/ready").status == 200; });
+        ++version;
+        await("the change is acknowledged", [&] { return accepted(configuration(version)); });
+        for (const std::unique_ptr<child> &each : m_processes) {
+            each->signal(SIGKILL);
+        }
+        gateway->kill();
+        for (const std::unique_ptr<child> &each : m_processes) {
+            each->kill();
+        }
+        wipeDisk(nameOf(lost));
+        for (int host = 1; host <= replicas; ++host) {
+            startReplica(host, "false");
+        }
+        await("it is read back", [&] { return allHold(version); });
+        await("the replica with the empty disk is a voter again", [&] {
+            return metric(lost, "carawayloft_log_voters") == replicas
+                   && metric(lost, "carawayloft_log_index") == metric(lost % replicas + 1, "carawayloft_log_index");
+        });
+    }
+}
--- a/tests/process/platform_processes.cpp
+++ b/tests/process/platform_processes.cpp
@@ -37,13 +37,24 @@
 
 void platform_processes::writeCore(const std::string &name, int host, int seeds) const
 {
-    const std::filesystem::path data = m_folder / (name + "-data");
+    const std::filesystem::path data = dataFolder(name);
     std::filesystem::create_directories(data);
     write(name,
           common(seeds) + "nodeName=" + name + "\nserves=control\nip=" + m_net + std::to_string(host) + "\nlisten.control=" + coreAddress(host)
               + "\ndataDir=" + data.string() + "\n");
 }
 
+std::filesystem::path platform_processes::dataFolder(const std::string &name) const
+{
+    return m_folder / (name + "-data");
+}
+
+void platform_processes::wipeDisk(const std::string &name) const
+{
+    std::filesystem::remove_all(dataFolder(name));
+    std::filesystem::create_directories(dataFolder(name));
+}
+
 std::string platform_processes::coreAddress(int host) const
 {
     return m_net + std::to_string(host) + controlPort;
--- a/tests/process/platform_processes.h
+++ b/tests/process/platform_processes.h
@@ -31,6 +31,9 @@
     /** Writes the settings of a control replica at the address that ends with @p host. */
     void writeCore(const std::string &name, int host, int seeds = 1) const;
 
+    /** Empties the disk of a control replica that does not run. */
+    void wipeDisk(const std::string &name) const;
+
     /** Where a control replica takes calls. */
     std::string coreAddress(int host) const;
 
@@ -53,6 +56,7 @@
     static void await(const std::string &what, const std::function<bool()> &condition);
 
 private:
+    std::filesystem::path dataFolder(const std::string &name) const;
     std::string read(const std::string &name) const;
 
     std::string m_net;
