Measure the spread of prompt lengths, admit evenly, and spread returns

Callers of the small sites were shed though their groups could take more: the peak of a group's goodput assumed prompts spread as widely as exponentially distributed ones, and on these sites they are not. Gateways now report the mean square of prompt lengths, and the peak follows from it. Retry-After is drawn from 0.9 to 2.4 s: repairs take that long, and those who were rejected together do not come back together.

--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -75,6 +75,7 @@
     engine_duration objective{0}; /**< Average objective for the time to the first event. */
     double recentRequestsPerSecond = 0.0; /**< As requestsPerSecond, over a shorter time. */
     double returningPerSecond = 0.0; /**< Requests that return after a rejection, over the shorter time. */
+    double promptTokensSquared = 0.0; /**< Average of the square of the prompt's length; zero if unknown. */
 
     static constexpr auto fields()
     {
@@ -84,7 +85,8 @@
                           field{"answer_tokens", &model_traffic::answerTokens},
                           field{"objective_ms", &model_traffic::objective},
                           field{"recent_requests_per_second", &model_traffic::recentRequestsPerSecond},
-                          field{"returning_per_second", &model_traffic::returningPerSecond});
+                          field{"returning_per_second", &model_traffic::returningPerSecond},
+                          field{"prompt_tokens_squared", &model_traffic::promptTokensSquared});
     }
 };
 
--- a/include/carawayloft/fleet/group_goodput.h
+++ b/include/carawayloft/fleet/group_goodput.h
@@ -41,6 +41,7 @@
     engine_duration m_idleIteration; /**< Without any request. */
     engine_duration m_iterationPerRequest; /**< Added for each running request. */
     engine_duration m_prefill; /**< Of a prompt of average length. */
+    double m_promptVariation; /**< Standard deviation of the prefill time over its mean. */
     engine_duration m_objective;
     double m_peakRate = 0.0;
     double m_peakShare = 1.0;
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -128,6 +128,7 @@
     void handleCallFailure(request_context &context, bool mayHaveRun, std::string reason);
     void waitForBackend(request_context &context);
     void giveUp(request_context &context);
+    duration drawRetryAfter();
     void checkTimeouts(request_context &context);
 
     // Answers of backend servers.
--- a/include/carawayloft/gateway/load_shedder.h
+++ b/include/carawayloft/gateway/load_shedder.h
@@ -22,11 +22,15 @@
     /** Sets the demand at all gateways, as control reports it. */
     void setDemand(const std::vector<model_traffic> &demand);
 
-    /** @p groups counts the groups that serve the model, slow ones in proportion to their speed. */
+    /** Fractions to admit; @p groups counts the groups that serve the model, slow ones in proportion to their speed. */
     admission_shares sharesFor(const engine_profile &engine, const model_profile &model, double groups) const;
 
+    /** Whether to admit one more request. Admits the fraction evenly over time, since bursts make each other late. */
+    bool admit(const engine_profile &engine, const model_profile &model, double groups, bool isReturning);
+
 private:
     fleet_traffic m_demand;
+    std::map<model_id, admission_shares> m_credits; /**< What is left of the fractions of earlier requests. */
 };
 
 } // namespace carawayloft
--- a/src/fleet_pipe/fleet_traffic.cpp
+++ b/src/fleet_pipe/fleet_traffic.cpp
@@ -9,6 +9,7 @@
     const double weight = rate > 0.0 ? part.requestsPerSecond / rate : 0.0;
     sum.model = part.model;
     sum.promptTokens += weight * (part.promptTokens - sum.promptTokens);
+    sum.promptTokensSquared += weight * (part.promptTokensSquared - sum.promptTokensSquared);
     sum.answerTokens += weight * (part.answerTokens - sum.answerTokens);
     sum.objective += weight * (part.objective - sum.objective);
     sum.requestsPerSecond = rate;
--- a/src/fleet_pipe/group_goodput.cpp
+++ b/src/fleet_pipe/group_goodput.cpp
@@ -6,9 +6,11 @@
 
 namespace carawayloft {
 
-/** Standard deviation of prompt lengths over their mean. Above that of an exponential distribution, whose tail is longer than that of the normal one used here.
- */
-static constexpr double promptVariation = 1.6;
+/** Standard deviation of prompt lengths over their mean while it is not known: that of exponentially distributed ones. */
+static constexpr double defaultPromptVariation = 1.0;
+
+/** Factor on the variation: lengths have a longer tail than the normal distribution that stands for them here. */
+static constexpr double tailFactor = 1.6;
 
 /** Square of the length of an interval over the variance of a value that is uniformly distributed in it. */
 static constexpr double uniformVarianceDivisor = 12.0;
@@ -22,6 +24,15 @@
     return 0.5 * std::erfc(-deviations / std::numbers::sqrt2);
 }
 
+static double promptVariation(const model_traffic &traffic)
+{
+    if (traffic.promptTokens <= 0.0 || traffic.promptTokensSquared <= 0.0) {
+        return tailFactor * defaultPromptVariation;
+    }
+    const double square = traffic.promptTokens * traffic.promptTokens;
+    return tailFactor * std::sqrt(std::max(0.0, traffic.promptTokensSquared - square) / square);
+}
+
 static double perSecond(engine_duration time)
 {
     return time / engine_duration(std::chrono::seconds(1));
@@ -33,6 +44,7 @@
     , m_idleIteration(iterationTime(engine, model, {0.0, 0.0}))
     , m_iterationPerRequest(iterationTime(engine, model, {1.0, 0.0}) - m_idleIteration)
     , m_prefill(prefillTime(engine, model, traffic.promptTokens))
+    , m_promptVariation(promptVariation(traffic))
     , m_objective(traffic.objective)
 {
     const double limit = saturationRate();
@@ -63,7 +75,7 @@
 {
     const double carriedOver = requestsPerSecond * (perSecond(m_prefill) + m_iterationsPerAnswer * perSecond(m_iterationPerRequest));
     const engine_duration iteration = m_idleIteration / (1.0 - carriedOver);
-    const double prefillSquare = m_prefill.count() * m_prefill.count() * (1.0 + promptVariation * promptVariation);
+    const double prefillSquare = m_prefill.count() * m_prefill.count() * (1.0 + m_promptVariation * m_promptVariation);
     const double variance = requestsPerSecond * perSecond(iteration) * prefillSquare / (1.0 - carriedOver * carriedOver);
     return {iteration, engine_duration(std::sqrt(variance)), carriedOver};
 }
@@ -77,7 +89,7 @@
     const double current = state.iteration.count() + deviation * deviation / state.iteration.count();
     const double next = m_idleIteration.count() + state.carriedOver * current;
     const double firstEvent = current / 2.0 + next + m_prefill.count();
-    const double promptDeviation = promptVariation * m_prefill.count();
+    const double promptDeviation = m_promptVariation * m_prefill.count();
     const double firstEventDeviation = std::sqrt(current * current / uniformVarianceDivisor + deviation * deviation + promptDeviation * promptDeviation);
     const double firstInTime = normalProbability((m_objective.count() - firstEvent) / firstEventDeviation);
     const double pauseInTime = normalProbability((m_objective.count() - state.iteration.count()) / deviation);
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -11,8 +11,9 @@
 static constexpr int waitDivisor = 4;
 static constexpr duration maxWait{1'200};
 
-/** Retry delay sent to rejected callers: about the time that the repair of a group takes. */
-static constexpr duration repairRetryAfter{900};
+/** Retry delay sent to rejected callers: about the time that the repair of a group takes, spread so that they do not return together. */
+static constexpr duration minRetryAfter{900};
+static constexpr duration maxRetryAfter{2'400};
 
 /** Retry delay while this process has no connection to control: about the time that finding a new leader takes. */
 static constexpr duration controlRetryAfter{800};
@@ -106,7 +107,7 @@
     recordTraffic(context);
     if (shouldShed(context)) {
         const error overload{error_kind::Overloaded, "the groups of the model are overloaded", "retry after the stated time"};
-        reject(context, http_status::serviceUnavailable, overload, run_outcome::DidNotRun, repairRetryAfter);
+        reject(context, http_status::serviceUnavailable, overload, run_outcome::DidNotRun, drawRetryAfter());
         return;
     }
     context.waitDeadline = m_now + (context.isLate ? std::min(maxWait, limit / waitDivisor) : context.route->objective * 6 / 10);
@@ -168,8 +169,7 @@
         const group_monitor *monitor = group.model == model->model && group.phase == group_phase::Open ? monitorFor(epoch) : nullptr;
         groups += monitor == nullptr || monitor->isSuspended(m_now) ? 0.0 : 1.0 / monitor->slowdown();
     }
-    const admission_shares shares = m_loadShedder.sharesFor(*context.service->engine, *model, groups);
-    return std::uniform_real_distribution<double>(0.0, 1.0)(m_random) >= (context.isLate ? shares.returning : shares.fresh);
+    return !m_loadShedder.admit(*context.service->engine, *model, groups, context.isLate);
 }
 
 /** Counts the request in the reported traffic of its model. */
@@ -278,6 +278,11 @@
     }
 }
 
+duration gateway_pipe::drawRetryAfter()
+{
+    return duration(std::uniform_int_distribution<duration::rep>(minRetryAfter.count(), maxRetryAfter.count())(m_random));
+}
+
 /** Ends a request that no backend server has answered completely. */
 void gateway_pipe::giveUp(request_context &context)
 {
@@ -300,7 +305,7 @@
            http_status::serviceUnavailable,
            {error_kind::Overloaded, context.lastFailure.empty() ? "no backend server is free" : context.lastFailure, "retry after the stated time"},
            run_outcome::DidNotRun,
-           repairRetryAfter);
+           drawRetryAfter());
 }
 
 /** Ends a request past its deadline, and moves a call that takes too long to another server. */
--- a/src/gateway_pipe/traffic_meter.cpp
+++ b/src/gateway_pipe/traffic_meter.cpp
@@ -36,9 +36,10 @@
         if (requests.empty()) {
             continue;
         }
-        model_traffic sum{model, 0.0, 0.0, 0.0, engine_duration(0), 0.0, 0.0};
+        model_traffic sum{model, 0.0, 0.0, 0.0, engine_duration(0), 0.0, 0.0, 0.0};
         for (const request &each : requests) {
             sum.promptTokens += each.promptTokens;
+            sum.promptTokensSquared += static_cast<double>(each.promptTokens) * each.promptTokens;
             sum.answerTokens += each.answerTokens;
             sum.objective += each.objective;
         }
@@ -52,7 +53,8 @@
                        sum.answerTokens / count,
                        sum.objective / count,
                        recentRate(requests, now),
-                       returned / std::chrono::duration<double>(recentWindow).count()});
+                       returned / std::chrono::duration<double>(recentWindow).count(),
+                       sum.promptTokensSquared / count});
     }
     return out;
 }
--- a/tests/fleet/group_goodput_test.cpp
+++ b/tests/fleet/group_goodput_test.cpp
@@ -61,3 +61,12 @@
     EXPECT_LT(peakRate(1'000.0, 150.0), peakRate(1'000.0, 300.0));
     EXPECT_LT(peakRate(2'000.0, 300.0), peakRate(1'000.0, 300.0));
 }
+
+TEST(GroupGoodput, PromptsOfEqualLengthRaiseThePeakRate)
+{
+    const engine_profile engine = makeBusyEngine();
+    model_traffic traffic = makeTraffic(1.0, 1'600.0, engine_duration(300));
+    const double varied = group_goodput(engine, engine.models.front(), traffic).peakRate();
+    traffic.promptTokensSquared = traffic.promptTokens * traffic.promptTokens;
+    EXPECT_GT(group_goodput(engine, engine.models.front(), traffic).peakRate(), varied);
+}
--- a/tests/gateway/gateway_overload_test.cpp
+++ b/tests/gateway/gateway_overload_test.cpp
@@ -28,7 +28,7 @@
     const engine_profile engine = makeBusyEngine();
     const double ideal = bestOnTimeShare(engine, engine.models.front(), makeLongPrompts(requestsPerSecondPerGroup));
     gateway_fleet fleet(gateways, groups, engine, makeLongPrompts(requestsPerSecondPerGroup * static_cast<double>(groups)));
-    const caller_outcomes outcomes = fleet.run(duration(100'000));
+    const caller_outcomes outcomes = fleet.run(duration(200'000));
     std::printf("%zu gateways, %zu groups, %.0f/s: ideal %.3f, on time %.3f, late %zu, rejected %zu of %zu\n",
                 gateways,
                 groups,
