--- a/src/gateway_pipe/load_shedder.cpp
+++ b/src/gateway_pipe/load_shedder.cpp
@@ -9,6 +9,9 @@
 /** Admitted rate over the estimated peak rate of the groups, which is on the safe side. */
 static constexpr double admittedLoad = 1.1;
 
+/** The same with requests that return, which groups take only while they are far from late. */
+static constexpr double admittedLoadWithReturning = 1.5;
+
 void load_shedder::setDemand(const std::vector<model_traffic> &demand)
 {
     m_demand.clear();
@@ -24,10 +27,10 @@
         return {};
     }
     const model_traffic &demand = found->second;
-    const double capacity = groups * admittedLoad * group_goodput(engine, model, demand).peakRate();
+    const double peak = groups * group_goodput(engine, model, demand).peakRate();
     const double fresh = std::max(demand.recentRequestsPerSecond, 1.0);
     const double returning = std::max(demand.returningPerSecond, 1.0);
-    return {std::min(1.0, capacity / fresh), std::clamp((capacity - fresh) / returning, 0.0, 1.0)};
+    return {std::min(1.0, admittedLoad * peak / fresh), std::clamp((admittedLoadWithReturning * peak - fresh) / returning, 0.0, 1.0)};
 }
 
 bool load_shedder::admit(const engine_profile &engine, const model_profile &model, double groups, bool isReturning)
--- a/tests/fleet/model_allocation_test.cpp
+++ b/tests/fleet/model_allocation_test.cpp
@@ -141,6 +141,19 @@
     EXPECT_EQ(formDomainGroups(utility, fleet, domain, pool, {1, 5}).size(), 1U);
 }
 
+TEST(FormDomainGroups, DoesNotKeepSparesForAGroupThatMostServersMustStillLoad)
+{
+    const engine_profile engine = makeEngine(4, 2);
+    const fleet_utility utility(engine, traffic(40.0, 40.0));
+    domain_pool pool;
+    pool.addSpare(spareWith(0, largeModel, {smallModel}));
+    for (int i = 1; i < 4; ++i) {
+        pool.addSpare(spareWith(i, smallModel));
+    }
+    fleet_composition fleet = oneDomain({0, 1});
+    EXPECT_EQ(formDomainGroups(utility, fleet, domain, pool, {1, 1}).size(), 2U);
+}
+
 TEST(FormDomainGroups, KeepsServersAsSparesWhenAGroupWouldHaveNoTraffic)
 {
     const engine_profile engine = makeEngine(2, 2);
