Name connection probes and the test fleet of engines in the usual terms

reach_test becomes connection_probe, testReach probeConnection, its patience a timeout; in tests/support/engine_fleet.h keeper, look, asked, deaf, obey and carryOut become controller, reconcile, demand, unanswering, execute and deliver. Names, file names and comments only.

--- a/src/ends/reach_test.cpp
+++ b/src/ends/connection_probe.cpp
@@ -1,4 +1,4 @@
-#include "ends/reach_test.h"
+#include "ends/connection_probe.h"
 
 #include "ends/frame_link.h"
 
@@ -13,14 +13,14 @@
 
 namespace {
 
-/** One test under way; lives as long as one of its operations. */
-class running_test : public std::enable_shared_from_this<running_test>
+/** A probe in progress; lives as long as one of its operations. */
+class running_probe : public std::enable_shared_from_this<running_probe>
 {
 public:
-    running_test(asio::io_context &context, const asio::ip::tcp::endpoint &address, duration patience, std::function<void(bool)> done)
+    running_probe(asio::io_context &context, const asio::ip::tcp::endpoint &address, duration timeout, std::function<void(bool)> onDone)
         : m_address(address)
-        , m_patience(patience)
-        , m_done(std::move(done))
+        , m_timeout(timeout)
+        , m_onDone(std::move(onDone))
         , m_sockets{asio::ip::tcp::socket(context), asio::ip::tcp::socket(context)}
         , m_timer(context)
     {
@@ -29,19 +29,19 @@
     void start()
     {
         connect(0);
-        m_timer.expires_after(m_patience / 2);
+        m_timer.expires_after(m_timeout / 2);
         m_timer.async_wait([self = shared_from_this()](const std::error_code &cancelled) {
             if (!cancelled) {
-                self->secondHalf();
+                self->retry();
             }
         });
     }
 
 private:
-    void secondHalf()
+    void retry()
     {
         connect(1);
-        m_timer.expires_after(m_patience / 2);
+        m_timer.expires_after(m_timeout / 2);
         m_timer.async_wait([self = shared_from_this()](const std::error_code &cancelled) {
             if (!cancelled) {
                 self->finish(false);
@@ -60,35 +60,35 @@
 
     void finish(bool reachable)
     {
-        if (!m_done) {
+        if (!m_onDone) {
             return;
         }
-        const auto done = std::exchange(m_done, nullptr);
+        const auto onDone = std::exchange(m_onDone, nullptr);
         std::error_code ignored;
         for (asio::ip::tcp::socket &each : m_sockets) {
             each.close(ignored);
         }
         m_timer.cancel();
-        done(reachable);
+        onDone(reachable);
     }
 
     asio::ip::tcp::endpoint m_address;
-    duration m_patience;
-    std::function<void(bool)> m_done;
+    duration m_timeout;
+    std::function<void(bool)> m_onDone;
     std::array<asio::ip::tcp::socket, 2> m_sockets;
     asio::steady_timer m_timer;
 };
 
 } // namespace
 
-void testReach(asio::io_context &context, const endpoint &address, duration patience, std::function<void(bool reachable)> done)
+void probeConnection(asio::io_context &context, const endpoint &address, duration timeout, std::function<void(bool reachable)> onDone)
 {
     const auto parsed = parseEndpoint(address);
     if (failed(parsed)) {
-        asio::post(context, [done = std::move(done)] { done(false); });
+        asio::post(context, [onDone = std::move(onDone)] { onDone(false); });
         return;
     }
-    std::make_shared<running_test>(context, valueOf(parsed), patience, std::move(done))->start();
+    std::make_shared<running_probe>(context, valueOf(parsed), timeout, std::move(onDone))->start();
 }
 
 } // namespace carawayloft
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -3,7 +3,7 @@
 #include "codec/operator_codec.h"
 #include "ends/clock.h"
 #include "ends/event_log.h"
-#include "ends/reach_test.h"
+#include "ends/connection_probe.h"
 
 #include <carawayloft/core/overloaded.h>
 
@@ -81,7 +81,7 @@
 
 void control_task::execute(const probe_backend &out)
 {
-    testReach(m_context, out.address, probeTimeout, [this, out](bool reachable) {
+    probeConnection(m_context, out.address, probeTimeout, [this, out](bool reachable) {
         logEvent(event_number::BackendProbed, {{"backend", out.backend}, {"reachable", reachable ? 1 : 0}});
         runFleet(probe_finished{out.probe, reachable});
     });
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -2,7 +2,7 @@
 
 #include "ends/clock.h"
 #include "ends/event_log.h"
-#include "ends/reach_test.h"
+#include "ends/connection_probe.h"
 #include "tasks/task_identity.h"
 
 #include <carawayloft/core/overloaded.h>
@@ -329,7 +329,7 @@
 
 void gateway_task::execute(const probe_backend &out)
 {
-    testReach(m_context, out.address, probeTimeout, [this, out](bool reachable) {
+    probeConnection(m_context, out.address, probeTimeout, [this, out](bool reachable) {
         logEvent(event_number::BackendProbed, {{"backend", out.backend}, {"reachable", reachable ? 1 : 0}});
         run(probe_finished{out.probe, reachable});
     });
--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -50,7 +50,7 @@
 TEST(GroupController, ResendsAnOrderWhoseAnswerIsLost)
 {
     engine_fleet fleet(1, 3, makeEngine(3, 4));
-    fleet.deaf = {backend_id("e1"), backend_id("e2"), backend_id("e3")};
+    fleet.unanswering = {backend_id("e1"), backend_id("e2"), backend_id("e3")};
     fleet.lead(2);
     fleet.settle(60);
     EXPECT_EQ(fleet.open(largeModel).size(), 1U);
@@ -60,7 +60,7 @@
 {
     engine_fleet fleet(1, 3, makeEngine(3, 4));
     fleet.lead(2);
-    fleet.keeper.step(order_finished{order_id(99), order_outcome::Done}, fleet.now);
+    fleet.controller.step(order_finished{order_id(99), order_outcome::Done}, fleet.now);
     fleet.settle(40);
     EXPECT_EQ(fleet.open(largeModel).size(), 1U);
 }
@@ -235,9 +235,9 @@
     const engine_group group = fleet.open(largeModel).front();
     fleet.engines.at(group.head()).reportsToControl = false; // It executes orders, but its announcements are lost.
     fleet.lose(group.members.back());
-    fleet.look();
-    fleet.look();
-    const std::vector<engine_group> groups = fleet.keeper.groups();
+    fleet.reconcile();
+    fleet.reconcile();
+    const std::vector<engine_group> groups = fleet.controller.groups();
     EXPECT_TRUE(std::none_of(groups.begin(), groups.end(), [&](const engine_group &each) { return each.epoch == group.epoch; }));
 }
 
@@ -245,7 +245,7 @@
 {
     engine_fleet fleet(2, 11, makeEngine(6, 2));
     fleet.stagingTime = duration(16'000);
-    fleet.asked
+    fleet.demand
         = {{largeModel, {largeModel, 16.0, 1'000.0, 100.0, engine_duration(300)}}, {smallModel, {smallModel, 8.0, 1'000.0, 100.0, engine_duration(300)}}};
     fleet.lead(2);
     fleet.settle(200);
@@ -272,7 +272,7 @@
 TEST(GroupController, ReportsDemandAndGroupsOfEveryModel)
 {
     engine_fleet fleet(1, 4, makeEngine(3, 4));
-    fleet.asked[largeModel] = {largeModel, 5.0, 1'000.0, 100.0, engine_duration(300)};
+    fleet.demand[largeModel] = {largeModel, 5.0, 1'000.0, 100.0, engine_duration(300)};
     fleet.lead(2);
     fleet.settle(40);
     EXPECT_EQ(fleet.assessed.at(largeModel).groups, fleet.open(largeModel).size());
@@ -307,13 +307,13 @@
                 fleet.lead(++term);
                 break;
             case 4:
-                fleet.lead(++term, fleet.keeper.groups());
+                fleet.lead(++term, fleet.controller.groups());
                 break;
             case 5:
-                fleet.deaf.insert(id);
+                fleet.unanswering.insert(id);
                 break;
             case 6:
-                fleet.deaf.erase(id);
+                fleet.unanswering.erase(id);
                 break;
             default:
                 break;
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -10,7 +10,7 @@
 
 namespace carawayloft::test_support {
 
-/** An engine that carries out orders as the platform's pages describe them, at once. */
+/** An engine that executes orders at once, staging aside. */
 struct fake_engine_state {
     backend_record record;
     std::vector<backend_id> members; /**< Of its group. */
@@ -21,7 +21,7 @@
     time_point stagedAt;
 };
 
-/** A group keeper with its registry before a fleet of engines. Checks what must always hold at each order. */
+/** A group controller with its registry and a fleet of engines. Checks the invariants of membership at every order. */
 class engine_fleet
 {
 public:
@@ -54,13 +54,13 @@
         run(group_control_began{log_term(term), std::move(inherited)});
     }
 
-    /** Every engine that can reports, then the keeper looks, and its orders are carried out; @p times times. */
+    /** Lets every reachable engine report, then the controller reconcile and the engines execute its orders, @p times times. */
     void settle(int times = 20, duration step = duration(200))
     {
         for (int i = 0; i < times; ++i) {
             now += step;
             report();
-            look();
+            reconcile();
         }
     }
 
@@ -77,9 +77,9 @@
         }
     }
 
-    void look()
+    void reconcile()
     {
-        run(reconcile_groups{{registry, m_services, zonesOut, true, asked, asked.empty() ? 0.0 : 1.0}});
+        run(reconcile_groups{{registry, m_services, zonesOut, true, demand, demand.empty() ? 0.0 : 1.0}});
     }
 
     void lose(const backend_id &id, bool confirmed = true)
@@ -91,7 +91,7 @@
     std::vector<engine_group> open(const model_id &model) const
     {
         std::vector<engine_group> groups;
-        for (const engine_group &each : keeper.groups()) {
+        for (const engine_group &each : controller.groups()) {
             if (each.phase == group_phase::Open && each.model == model) {
                 groups.push_back(each);
             }
@@ -101,11 +101,11 @@
 
     std::map<backend_id, fake_engine_state> engines;
     backend_registry registry;
-    group_controller keeper;
+    group_controller controller;
     std::set<availability_zone_id> zonesOut;
-    fleet_traffic asked; /**< By callers; empty for none told. */
+    fleet_traffic demand; /**< Of callers; empty if unknown. */
     time_point now{std::chrono::hours(1)};
-    std::set<backend_id> deaf; /**< Carry orders out without an answer. */
+    std::set<backend_id> unanswering; /**< Engines that execute orders, but whose answers are lost. */
     duration stagingTime{0}; /**< To load a model to a host. */
     std::size_t orders = 0;
     std::map<model_id, model_assessed> assessed; /**< Last report of each model. */
@@ -113,29 +113,29 @@
 private:
     void run(const group_controller_input &in)
     {
-        for (const group_controller_output &each : keeper.step(in, now)) {
+        for (const group_controller_output &each : controller.step(in, now)) {
             if (const auto *order = std::get_if<engine_order_requested>(&each)) {
                 ++orders;
-                carryOut(*order);
+                deliver(*order);
             } else if (const auto *report = std::get_if<model_assessed>(&each)) {
                 assessed[report->model] = *report;
             }
         }
     }
 
-    void carryOut(const engine_order_requested &order)
+    void deliver(const engine_order_requested &order)
     {
         fake_engine_state &engine = engines.at(order.backend);
         if (!engine.alive) {
             return;
         }
-        const order_outcome outcome = std::visit([&](const auto &what) { return obey(engine, what); }, order.what);
-        if (!deaf.contains(order.backend)) {
-            keeper.step(order_finished{order.order, outcome}, now);
+        const order_outcome outcome = std::visit([&](const auto &what) { return execute(engine, what); }, order.what);
+        if (!unanswering.contains(order.backend)) {
+            controller.step(order_finished{order.order, outcome}, now);
         }
     }
 
-    order_outcome obey(fake_engine_state &engine, const join_group &order)
+    order_outcome execute(fake_engine_state &engine, const join_group &order)
     {
         if (order.epoch < engine.highestEpoch) {
             return order_outcome::Fenced;
@@ -153,14 +153,14 @@
         return order_outcome::Begun;
     }
 
-    order_outcome obey(fake_engine_state &engine, const stage_model &order)
+    order_outcome execute(fake_engine_state &engine, const stage_model &order)
     {
         engine.staging = order.model;
         engine.stagedAt = now + stagingTime;
         return order_outcome::Begun;
     }
 
-    /** Nobody joins elsewhere while the head of its old group serves. */
+    /** Checks that an engine joins another group only when the head of its old one does not serve. */
     void checkMayJoin(const fake_engine_state &engine)
     {
         if (engine.members.empty()) {
@@ -172,7 +172,7 @@
         EXPECT_FALSE(serves) << engine.record.backend.value() << " joins elsewhere while its head serves";
     }
 
-    order_outcome obey(fake_engine_state &engine, const open_group &order)
+    order_outcome execute(fake_engine_state &engine, const open_group &order)
     {
         membership_report &own = engine.record.membership;
         if (own.epoch != order.epoch || own.rank != 0) {
@@ -185,7 +185,7 @@
         return order_outcome::Begun;
     }
 
-    order_outcome obey(fake_engine_state &engine, const close_group &order)
+    order_outcome execute(fake_engine_state &engine, const close_group &order)
     {
         membership_report &own = engine.record.membership;
         if (own.epoch != order.epoch) {
