Let short iterations count for the slowdown of a group

A group looked slower than it was, so a little less was admitted: iterations shorter than half of the expected one, which read few prompts, were taken for events of the one before and left out of the mean. Now only what is shorter than half of an iteration without prompts is.

--- a/src/gateway_pipe/group_monitor.cpp
+++ b/src/gateway_pipe/group_monitor.cpp
@@ -79,7 +79,9 @@
     }
     const engine_duration elapsed = now - m_progressAt;
     const engine_duration expectedIteration = currentIterationTime(now) / m_slowdown;
-    if (elapsed > expectedIteration / 2.0) {
+    // Events of one iteration arrive together; the shortest iteration reads no prompt.
+    const engine_duration shortestIteration = iterationTime(m_engine, m_model, {static_cast<double>(estimatedRunning(now)), 0.0});
+    if (elapsed > shortestIteration / 2.0) {
         m_observedIteration += iterationWeight * (std::min(elapsed, expectedIteration * maxSlowdown) - m_observedIteration);
         m_expectedIteration += iterationWeight * (expectedIteration - m_expectedIteration);
         m_slowdown = std::max(1.0, m_observedIteration / m_expectedIteration);
