--- a/src/fleet_pipe/group_controller_weights.cpp
+++ b/src/fleet_pipe/group_controller_weights.cpp
@@ -206,11 +206,13 @@
         }
     }
     std::vector<candidate> sorted;
+    sorted.reserve(chosen.size());
     for (const auto &[domain, each] : chosen) {
         sorted.push_back(each);
     }
     std::stable_sort(sorted.begin(), sorted.end(), [](const candidate &one, const candidate &other) { return one.replacements < other.replacements; });
     std::vector<const managed_group *> groups;
+    groups.reserve(sorted.size());
     for (const candidate &each : sorted) {
         groups.push_back(each.group);
     }
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -2,8 +2,8 @@
 
 #include "codec/operator_codec.h"
 #include "ends/clock.h"
-#include "ends/event_log.h"
 #include "ends/connection_probe.h"
+#include "ends/event_log.h"
 
 #include <carawayloft/core/overloaded.h>
 
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -1,8 +1,8 @@
 #include "tasks/gateway_task.h"
 
 #include "ends/clock.h"
-#include "ends/event_log.h"
 #include "ends/connection_probe.h"
+#include "ends/event_log.h"
 #include "tasks/task_identity.h"
 
 #include <carawayloft/core/overloaded.h>
