--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -198,6 +198,7 @@
     void startStandby(const model_profile &model, const backend_id &backend, bool loadsFromStore);
     void reconcileStandbys();
     void stageAdditionalModels(const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const domain_pools &pools);
+    std::vector<const managed_group *> openGroups(const service_settings &service) const;
     std::vector<const managed_group *> groupsToStageOn(const service_settings &service, const domain_pools &pools) const;
     std::size_t replacementCount(const fabric_domain_id &domain, const domain_pool &pool, const model_profile &model) const;
     void startStaging(const model_profile &model, const backend_id &backend);
--- a/src/fleet_pipe/group_controller_weights.cpp
+++ b/src/fleet_pipe/group_controller_weights.cpp
@@ -127,7 +127,8 @@
 
 /**
  * Stages an additional model on hosts whose engine holds another one, so that their servers can be reassigned: spares
- * first, then members of groups, which can be closed to replace members of a larger group.
+ * first, then members of groups, which can be closed to replace members of a larger group. Before there is traffic,
+ * loads are fast and not limited in rate, and all members stage one.
  */
 void group_controller::stageAdditionalModels(const service_settings &service,
                                              const fleet_utility &utility,
@@ -150,7 +151,7 @@
             stage(each);
         }
     }
-    for (const managed_group *group : groupsToStageOn(service, pools)) {
+    for (const managed_group *group : m_context->trafficStarted ? groupsToStageOn(service, pools) : openGroups(service)) {
         for (const spare_backend &each : membersAsSpares(*group)) {
             stage(each);
         }
@@ -174,6 +175,18 @@
     return count;
 }
 
+/** All open groups of the service. */
+std::vector<const group_controller::managed_group *> group_controller::openGroups(const service_settings &service) const
+{
+    std::vector<const managed_group *> groups;
+    for (const auto &[epoch, each] : m_groups) {
+        if (each.group.service == service.service && each.group.phase == group_phase::Open) {
+            groups.push_back(&each);
+        }
+    }
+    return groups;
+}
+
 /**
  * In each domain that lacks replacements for members of a larger model, the group that should stage it: the one that has
  * the most members with it and not yet all. Domains with the fewest replacements come first.
@@ -186,12 +199,12 @@
         const managed_group *group = nullptr;
     };
     std::map<fabric_domain_id, candidate> chosen;
-    for (const auto &[epoch, each] : m_groups) {
-        const auto pool = pools.find(domainOf(each));
-        if (each.group.service != service.service || each.group.phase != group_phase::Open || pool == pools.end()) {
+    for (const managed_group *each : openGroups(service)) {
+        const auto pool = pools.find(domainOf(*each));
+        if (pool == pools.end()) {
             continue;
         }
-        const std::vector<spare_backend> members = membersAsSpares(each);
+        const std::vector<spare_backend> members = membersAsSpares(*each);
         for (const model_profile &larger : service.engine->models) {
             const std::size_t replacements = replacementCount(pool->first, pool->second, larger);
             const auto able = std::count_if(members.begin(), members.end(), [&](const spare_backend &member) { return member.canServe(larger.model); });
@@ -201,7 +214,7 @@
             }
             candidate &best = chosen[pool->first];
             if (best.group == nullptr || able > best.able) {
-                best = {replacements, able, &each};
+                best = {replacements, able, each};
             }
         }
     }
--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -257,6 +257,18 @@
     EXPECT_EQ(fleet.open(largeModel).size(), 2U);
 }
 
+TEST(GroupController, StagesTheOtherModelOnAllMembersBeforeTraffic)
+{
+    engine_fleet fleet(3, 9, makeEngine(4, 3));
+    fleet.trafficStarted = false;
+    fleet.lead(2);
+    fleet.settle(100);
+    for (const auto &[id, engine] : fleet.engines) {
+        const std::vector<model_id> &staged = engine.record.staged;
+        EXPECT_TRUE(std::any_of(staged.begin(), staged.end(), [&](const model_id &model) { return model != engine.record.loaded; })) << id.value();
+    }
+}
+
 TEST(GroupController, StagesTheOtherModelOnSpares)
 {
     engine_fleet fleet(1, 9, makeEngine(4, 4));
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -79,7 +79,7 @@
 
     void reconcile()
     {
-        run(reconcile_groups{{registry, m_services, zonesOut, true, demand, demand.empty() ? 0.0 : 1.0}});
+        run(reconcile_groups{{registry, m_services, zonesOut, trafficStarted, demand, demand.empty() ? 0.0 : 1.0}});
     }
 
     void lose(const backend_id &id, bool confirmed = true)
@@ -106,6 +106,7 @@
     fleet_traffic demand; /**< Of callers; empty if unknown. */
     time_point now{std::chrono::hours(1)};
     std::set<backend_id> unanswering; /**< Engines that execute orders, but whose answers are lost. */
+    bool trafficStarted = true; /**< Whether callers may have sent requests. */
     duration stagingTime{0}; /**< To load a model to a host. */
     std::size_t orders = 0;
     std::map<model_id, model_assessed> assessed; /**< Last report of each model. */
