Name the prompt parts of requests whose connections servers close unanswered

Callers saw servers of a model crash in turn.

The front end now reads what a request may share with others, the parts of its prompt but for the last and a digest of the whole, with bounds against hostile headers. A gateway logs them, as unanswered_call_lost, when a server closes the connection of a request that it had not begun to answer. Nothing decides by them yet.

--- a/include/carawayloft/core/ids.h
+++ b/include/carawayloft/core/ids.h
@@ -52,6 +52,12 @@
 /** Identifies a connection to this process; assigned by the task that owns the connection. */
 using link_id = strong_type<struct link_id_tag, std::uint64_t>;
 
+/**
+ * A property that requests to one service may share and that may make its servers crash: a part of the prompt
+ * ("part:ID"), or the whole request ("request:DIGEST").
+ */
+using request_trait = strong_type<struct request_trait_tag, std::string>;
+
 using request_id = strong_type<struct request_id_tag, std::uint64_t>;
 
 /** Identifies one run of a process; a restarted process has a new one. */
--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -26,6 +26,7 @@
     token_count maxAnswerTokens = 0;
     token_count expectedAnswerTokens = 0; /**< Estimate of the caller; zero if not stated. */
     std::optional<stream_event_id> resumeAfter; /**< Last event that the caller received in an earlier attempt. */
+    std::vector<request_trait> traits; /**< The whole request, then the parts of its prompt that other requests may share. */
 };
 
 /** A backend server has sent the head of its answer. */
@@ -51,6 +52,7 @@
     backend_call_id call;
     bool neverSent = false; /**< No byte of the request can have reached the server. */
     std::string reason;
+    bool closedByServer = false; /**< The server ended the connection in the middle of the call. */
 };
 
 struct configuration_in_force {
@@ -122,6 +124,13 @@
     std::optional<stream_event_id> after; /**< Last event relayed to the caller. */
 };
 
+/** A backend server closed the connection of a request that it had not begun to answer, which may be why it crashed. */
+struct unanswered_call_lost {
+    request_id request;
+    backend_id backend;
+    std::vector<request_trait> traits;
+};
+
 /** The gateway stops sending to a group for a while. */
 struct group_suspended {
     group_epoch group;
@@ -167,6 +176,7 @@
                                          requests_drained,
                                          backend_chosen,
                                          call_repeated,
+                                         unanswered_call_lost,
                                          group_suspended,
                                          request_ended,
                                          serving_lease_changed>;
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -67,6 +67,7 @@
         group_epoch group; /**< Zero for a server outside any group. */
         time_point sentAt;
         time_point lastByteAt; /**< Last bytes of the call in flight, or its start. */
+        std::optional<time_point> answerBegunAt; /**< First event or bytes of the call in flight. */
         std::uint32_t sendCount = 0;
         std::uint32_t possibleRuns = 0; /**< Backend servers that may have run the request. */
         std::set<backend_id> triedBackends;
@@ -139,6 +140,7 @@
     request_context *findByCall(backend_call_id call);
     void handleNotExecuted(request_context &context, const backend_answer_started &in);
     void recordOutcome(const request_context &context, bool failure);
+    void recordLostCall(const request_context &context);
 
     // Groups.
     group_monitor *monitorFor(group_epoch group);
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -34,6 +34,7 @@
     ServiceRightGained = 215,
     ConfigurationInForce = 216,
     ConfigurationUnreadable = 217,
+    UnansweredCallLost = 218,
     WorkRefused = 300,
     LimitChanged = 301,
     BackendAnnounced = 302,
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 
+#include <cerrno>
 #include <map>
 #include <netinet/tcp.h>
 #include <string_view>
@@ -355,7 +356,19 @@
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
         const bool neverSent = sentBytes == 0 && !one->started;
         const char *failure = one->failure == nullptr ? curl_easy_strerror(code) : one->failure;
-        one->handle(http_failed{{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent});
+        const bool closedByServer = !neverSent && one->failure == nullptr && isClosedByServer(easy, code);
+        one->handle(http_failed{{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent, closedByServer});
+    }
+
+    /** Whether the other end closed or reset the connection, rather than falling silent. */
+    static bool isClosedByServer(CURL *easy, CURLcode code)
+    {
+        if (code == CURLE_GOT_NOTHING || code == CURLE_PARTIAL_FILE) {
+            return true;
+        }
+        long systemError = 0;
+        curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
+        return (code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR) && systemError != ETIMEDOUT;
     }
 
     asio::io_context &m_context;
--- a/src/ends/http_client.h
+++ b/src/ends/http_client.h
@@ -38,6 +38,7 @@
 struct http_failed {
     error why;
     bool neverSent = false; /**< The server cannot have seen the call. */
+    bool closedByServer = false; /**< The server, or its host, ended the connection in the middle of the call. */
 };
 
 using http_event = std::variant<http_started, http_received, http_finished, http_failed>;
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -150,6 +150,7 @@
     context.forecast = target.forecast;
     context.sentAt = m_now;
     context.lastByteAt = m_now;
+    context.answerBegunAt.reset();
     context.headReceived = false;
     context.isStreaming = false;
     context.body.clear();
@@ -212,6 +213,14 @@
     }
 }
 
+/** Records a call that its server ended; only a request whose answer had not begun may be why. */
+void gateway_pipe::recordLostCall(const request_context &context)
+{
+    if (!context.answerBegunAt) {
+        emit(unanswered_call_lost{context.request.request, context.backend, context.request.traits});
+    }
+}
+
 /** Ends a failed call and dispatches the request again if it may run again. */
 void gateway_pipe::handleCallFailure(request_context &context, bool mayHaveRun, std::string reason)
 {
@@ -313,6 +322,7 @@
         context->firstByte = std::chrono::duration_cast<duration>(m_now - context->arrivedAt);
     }
     if (!context->isStreaming) {
+        context->answerBegunAt = context->answerBegunAt.value_or(m_now);
         context->body += in.bytes;
         if (context->body.size() > maxWholeAnswerBytes) {
             emit(cancel_call{in.call});
@@ -327,6 +337,7 @@
         return;
     }
     if (!events.empty()) {
+        context->answerBegunAt = context->answerBegunAt.value_or(m_now);
         if (context->eventRelayed) {
             context->longestPause = std::max(context->longestPause, std::chrono::duration_cast<duration>(m_now - context->lastRelayedAt));
         }
@@ -370,6 +381,9 @@
         }
         probeMembers(found->second);
     }
+    if (in.closedByServer) {
+        recordLostCall(*context);
+    }
     handleCallFailure(*context, !in.neverSent, in.reason);
 }
 
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -240,7 +240,7 @@
                    },
                    [&](const http_failed &each) {
                        m_calls.erase(found);
-                       run(backend_call_failed{call, each.neverSent, each.why.what});
+                       run(backend_call_failed{call, each.neverSent, each.why.what, each.closedByServer});
                    },
                },
                event);
@@ -357,6 +357,16 @@
     m_metrics.count("carawayloft_calls_repeated_total");
 }
 
+void gateway_task::execute(const unanswered_call_lost &out)
+{
+    std::string traits;
+    for (const request_trait &each : out.traits) {
+        traits += (traits.empty() ? "" : ",") + each.value();
+    }
+    logEvent(event_number::UnansweredCallLost, {{"request", callerRequestIdOf(out.request)}, {"backend", out.backend}, {"traits", traits}});
+    m_metrics.count("carawayloft_unanswered_calls_lost_total");
+}
+
 void gateway_task::execute(const group_suspended &out)
 {
     logEvent(event_number::GroupSuspended, {{"group", out.group}, {"silence_ms", out.silence.count()}, {"moved", out.moved}, {"reason", out.reason}});
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -225,3 +225,35 @@
     EXPECT_EQ(frontEnd().decodeOrderAnswer(409), order_outcome::Conflict);
     EXPECT_EQ(frontEnd().decodeOrderAnswer(500), order_outcome::Unanswered);
 }
+
+static std::vector<request_trait> traitsOf(const std::string &promptParts, const std::string &body = "x")
+{
+    http_request request = makeRequest("POST", "/draft/x", body);
+    request.headers = {{platform::wire::requestId, "r1"}, {platform::wire::promptParts, promptParts}};
+    const auto decoded = frontEnd().decodeGatewayRequest(request);
+    return failed(decoded) ? std::vector<request_trait>() : valueOf(decoded).traits;
+}
+
+TEST(FrontEnd, TheTraitsOfARequestAreItselfAndEveryPromptPartButTheLast)
+{
+    const auto traits = traitsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    ASSERT_EQ(traits.size(), 3U);
+    EXPECT_TRUE(traits[0].value().starts_with("request:"));
+    EXPECT_EQ(traits[1], request_trait("part:5c1e07a2"));
+    EXPECT_EQ(traits[2], request_trait("part:91bd3f06"));
+    EXPECT_EQ(traitsOf("e4402b7d:250").size(), 1U);
+    EXPECT_EQ(traitsOf("").size(), 1U);
+    EXPECT_EQ(traitsOf("", "a"), traitsOf("", "a"));
+    EXPECT_NE(traitsOf("", "a"), traitsOf("", "b"));
+}
+
+TEST(FrontEnd, HostilePromptPartsAreBounded)
+{
+    std::string many;
+    for (int i = 0; i < 1'000; ++i) {
+        many += "p" + std::to_string(i) + ":1,";
+    }
+    EXPECT_LE(traitsOf(many).size(), 33U);
+    EXPECT_LE(traitsOf(std::string(10'000, 'a') + ":1,b:2").back().value().size(), 80U);
+    EXPECT_EQ(traitsOf(",,:,:5,").size(), 1U);
+}
