Quarantine what requests have in common when they crash servers

Cause: no part of the system asked what the requests that were in flight at several crashes had in common. Each crash was charged to the server, its requests were repeated on the next one, and later requests with the same part went out like any other. No gateway could have known: each sees a share of the crashes. The class of fault is a query of death: an input that is retried against a fleet as if failures were the servers' own.

Gateways report the traits (parts of the prompt, and the request as a whole) of requests whose servers closed the connection unanswered, and when servers last survived a suspect. The leader of control joins these reports to the servers that ended, and puts the trait into quarantine that three crashes at different times have in common and that no server survived since. The quarantine is a record of the replicated log, so it outlives the leader and reaches every gateway, one that has just started too, before it serves. Gateways reject such requests at once, cancel those that no server has begun to answer, and do not repeat a suspect. A quarantine ends after 30 minutes, or by an operator.

Why it works: a request that crashes a server never shows an answer, so one success clears every trait of a request; what remains in common is the cause. Servers that end together count once, so outages quarantine nothing.

--- a/include/carawayloft/control/fleet_command.h
+++ b/include/carawayloft/control/fleet_command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carawayloft/control/records.h>
+#include <carawayloft/core/service_trait.h>
 
 #include <variant>
 
@@ -151,6 +152,27 @@
     }
 };
 
+/** Rejects requests with a trait from now on. */
+struct quarantine_trait {
+    quarantine_record quarantine;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"quarantine", &quarantine_trait::quarantine});
+    }
+};
+
+/** Lifts the quarantine of a trait. */
+struct release_trait {
+    service_trait subject;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"subject", &release_trait::subject});
+    }
+};
+
+/** Any change of the fleet configuration. Its index is its type in the log, so new types go to the end. */
 using fleet_change = std::variant<put_zone,
                                   put_host,
                                   remove_host,
@@ -164,7 +186,9 @@
                                   confirm_plan,
                                   cancel_plan,
                                   advance_plan,
-                                  put_configuration>;
+                                  put_configuration,
+                                  quarantine_trait,
+                                  release_trait>;
 
 /** A change with the sender's request id, for deduplication, and the revision that the sender based it on. */
 struct fleet_command {
--- a/include/carawayloft/control/fleet_state.h
+++ b/include/carawayloft/control/fleet_state.h
@@ -43,6 +43,7 @@
     revision lastOperatorChange;
     std::string lastAuthor;
     configuration_record configuration;
+    std::vector<quarantine_record> quarantine;
 
     static constexpr auto fields()
     {
@@ -56,7 +57,8 @@
                           field{"answers", &fleet_snapshot::commandResults},
                           field{"last_operator_change", &fleet_snapshot::lastOperatorChange},
                           field{"last_author", &fleet_snapshot::lastAuthor},
-                          field{"configuration", &fleet_snapshot::configuration});
+                          field{"configuration", &fleet_snapshot::configuration},
+                          field{"quarantine", &fleet_snapshot::quarantine});
     }
 };
 
@@ -109,6 +111,12 @@
         return m_configuration;
     }
 
+    /** Traits whose requests are rejected. */
+    const std::map<service_trait, quarantine_record> &quarantine() const
+    {
+        return m_quarantine;
+    }
+
     /** The group that @p host is assigned to, or nullptr. */
     const group_record *groupOf(const host_id &host) const;
     const host_record *host(const host_id &host) const;
@@ -131,6 +139,8 @@
     status change(const cancel_plan &change, revision at);
     status change(const advance_plan &change, revision at);
     status change(const put_configuration &change, revision at);
+    status change(const quarantine_trait &change, revision at);
+    status change(const release_trait &change, revision at);
 
     result<group_record *> findGroup(group_id group, group_epoch epoch);
     result<plan_record *> findPlan(plan_id plan);
@@ -149,6 +159,7 @@
     std::map<client_account_id, account_record> m_accounts;
     std::map<plan_id, plan_record> m_plans;
     configuration_record m_configuration;
+    std::map<service_trait, quarantine_record> m_quarantine;
     std::map<command_id, command_result> m_commandResults;
     std::deque<command_id> m_commandResultOrder;
 };
--- a/include/carawayloft/control/records.h
+++ b/include/carawayloft/control/records.h
@@ -117,6 +117,22 @@
     }
 };
 
+/** A trait whose requests are rejected, because they crash the servers of the service. */
+struct quarantine_record {
+    service_id service;
+    request_trait trait;
+    std::uint32_t crashes = 0; /**< That the trait was found from. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(
+            field{"service", &quarantine_record::service}, field{"trait", &quarantine_record::trait}, field{"crashes", &quarantine_record::crashes});
+    }
+};
+
+/** Time after which control lifts a quarantine: the cause may be gone by then, and another one takes few crashes. */
+inline constexpr duration quarantineTime = std::chrono::minutes(30);
+
 /** The service configuration in force, as submitted by the operator. */
 struct configuration_record {
     configuration_version version;
--- a/include/carawayloft/core/error.h
+++ b/include/carawayloft/core/error.h
@@ -32,6 +32,8 @@
     ConnectionFailed,
     MalformedFrame,
     VersionMismatch,
+    Quarantined,
+    UnknownQuarantine,
 };
 
 /** An error as operators and callers read it: what failed, and what they can do about it. */
--- a/include/carawayloft/fleet/backend_registry.h
+++ b/include/carawayloft/fleet/backend_registry.h
@@ -43,6 +43,7 @@
 /** A record was added or has changed. */
 struct backend_record_changed {
     backend_id backend;
+    bool crashed = false; /**< The run of the server that the record was about has ended, and had not announced that it leaves. */
 };
 
 /** The latest record of every announced backend server. */
--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/core/service_trait.h>
 #include <carawayloft/fleet/fleet_records.h>
 
 /** Messages between the leading control replica and gateways about backend servers, also mirrored to the other replicas. */
@@ -90,6 +91,45 @@
     }
 };
 
+/** A request that a backend server had not begun to answer when it closed the connection. */
+struct exposed_request {
+    std::vector<request_trait> traits; /**< The request as a whole comes first. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"traits", &exposed_request::traits});
+    }
+
+    friend bool operator==(const exposed_request &, const exposed_request &) = default;
+};
+
+/** The requests of one gateway that may be why a backend server crashed, if it did. */
+struct crash_exposure {
+    backend_id backend;
+    service_id service;
+    duration age{0}; /**< Time since the server closed the first of their connections. */
+    std::vector<exposed_request> requests;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"backend", &crash_exposure::backend},
+                          field{"service", &crash_exposure::service},
+                          field{"age_ms", &crash_exposure::age},
+                          field{"requests", &crash_exposure::requests});
+    }
+};
+
+/** A backend server has answered a request with the trait without crashing. */
+struct trait_survival {
+    service_trait subject;
+    duration age{0};
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"subject", &trait_survival::subject}, field{"age_ms", &trait_survival::age});
+    }
+};
+
 /** A gateway's status report to the leader, which also asks to renew its serving lease. */
 struct gateway_report {
     std::uint64_t round = 0; /**< Echoed in the grant. */
@@ -97,6 +137,8 @@
     std::vector<group_load> loads;
     std::vector<backend_id> unreachable;
     std::vector<model_traffic> modelTraffic;
+    std::vector<crash_exposure> exposures;
+    std::vector<trait_survival> survivals; /**< Of the suspects in the last grant. */
 
     static constexpr auto fields()
     {
@@ -104,7 +146,9 @@
                           field{"revision", &gateway_report::at},
                           field{"loads", &gateway_report::loads},
                           field{"unreachable", &gateway_report::unreachable},
-                          field{"asked", &gateway_report::modelTraffic});
+                          field{"asked", &gateway_report::modelTraffic},
+                          field{"exposures", &gateway_report::exposures},
+                          field{"survivals", &gateway_report::survivals});
     }
 };
 
@@ -117,6 +161,7 @@
     std::vector<group_load> others; /**< Sum over all other gateways. */
     std::vector<endpoint> replicas; /**< Frame addresses of all control replicas. */
     std::vector<model_traffic> modelTraffic; /**< Demand at all gateways, this one included. */
+    std::vector<service_trait> suspects{}; /**< Traits that several crashes have in common. */
 
     static constexpr auto fields()
     {
@@ -126,7 +171,8 @@
                           field{"gateways", &gateway_grant::gateways},
                           field{"others", &gateway_grant::others},
                           field{"replicas", &gateway_grant::replicas},
-                          field{"asked", &gateway_grant::modelTraffic});
+                          field{"asked", &gateway_grant::modelTraffic},
+                          field{"suspects", &gateway_grant::suspects});
     }
 };
 
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carawayloft/fleet/backend_view.h>
+#include <carawayloft/fleet/crash_correlator.h>
 #include <carawayloft/fleet/fleet_pipe_messages.h>
 
 namespace carawayloft {
@@ -51,6 +52,7 @@
     void handle(const leadership_changed &in);
     void handle(const services_changed &in);
     void handle(const zones_out_changed &in);
+    void handle(const quarantined_traits_changed &in);
     void handle(const check_in_received &in);
     void handle(const departure_received &in);
     void handle(const gateway_reported &in);
@@ -60,6 +62,9 @@
     void handle(const fleet_mirrored &in);
 
     void stepRegistry(const backend_registry_input &in, const char *reason);
+    void stepCorrelator(const crash_correlator_input &in);
+    void correlateCrashes(const gateway_report &report);
+    bool isKnownToHaveCrashed(const backend_id &backend) const;
     void stepController(const group_controller_input &in);
     void reconcile();
     void forward(const engine_order_requested &out);
@@ -90,6 +95,8 @@
     backend_view m_mirror; /**< The leader's publications, while this replica does not lead. */
     backend_registry m_registry;
     group_controller m_controller;
+    crash_correlator m_correlator;
+    std::set<service_trait> m_quarantinedTraits;
     std::vector<service_settings> m_services;
     std::set<availability_zone_id> m_zonesOut;
     std::map<link_id, gateway> m_gateways;
--- a/include/carawayloft/fleet/fleet_pipe_messages.h
+++ b/include/carawayloft/fleet/fleet_pipe_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/fleet/crash_correlator_messages.h>
 #include <carawayloft/fleet/fleet_messages.h>
 #include <carawayloft/fleet/group_controller.h>
 
@@ -27,6 +28,11 @@
     std::set<availability_zone_id> zones;
 };
 
+/** The traits in quarantine in the configuration in force. */
+struct quarantined_traits_changed {
+    std::set<service_trait> traits;
+};
+
 struct check_in_received {
     backend_check_in announcement;
 };
@@ -61,6 +67,7 @@
                                       leadership_changed,
                                       services_changed,
                                       zones_out_changed,
+                                      quarantined_traits_changed,
                                       check_in_received,
                                       departure_received,
                                       gateway_reported,
@@ -115,6 +122,10 @@
                                        log_backend_change,
                                        group_changed,
                                        group_retired,
-                                       model_assessed>;
+                                       model_assessed,
+                                       crash_recorded,
+                                       trait_suspected,
+                                       quarantine_proposed,
+                                       quarantine_expired>;
 
 } // namespace carawayloft
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -2,6 +2,7 @@
 
 #include <carawayloft/control/published_fleet.h>
 #include <carawayloft/fleet/backend_view.h>
+#include <carawayloft/gateway/crash_witness.h>
 #include <carawayloft/gateway/fleet_limiter.h>
 #include <carawayloft/gateway/gateway_messages.h>
 #include <carawayloft/gateway/group_monitor.h>
@@ -68,6 +69,7 @@
         time_point sentAt;
         time_point lastByteAt; /**< Last bytes of the call in flight, or its start. */
         std::optional<time_point> answerBegunAt; /**< First event or bytes of the call in flight. */
+        bool survivalRecorded = false; /**< The server has survived the beginning of the answer in flight. */
         std::uint32_t sendCount = 0;
         std::uint32_t possibleRuns = 0; /**< Backend servers that may have run the request. */
         std::set<backend_id> triedBackends;
@@ -140,7 +142,15 @@
     request_context *findByCall(backend_call_id call);
     void handleNotExecuted(request_context &context, const backend_answer_started &in);
     void recordOutcome(const request_context &context, bool failure);
+
+    // Requests that crash servers.
+    bool isQuarantined(const request_context &context) const;
+    void rejectQuarantined(request_context &context);
+    void dropQuarantined();
+    bool mayHaveCrashedItsServer(const request_context &context) const;
     void recordLostCall(const request_context &context);
+    void recordLostCalls(const backend_id &backend, const std::vector<request_id> &requests);
+    void recordAnswerProgress(request_context &context, bool finished);
 
     // Groups.
     group_monitor *monitorFor(group_epoch group);
@@ -155,6 +165,7 @@
     void handle(const request_tick &in);
     void handle(const request_stop &in);
     void applyGrant(const gateway_grant &grant);
+    void applyFleetChange(const published_fleet::input &change);
     void applyPublication(const publish_fleet &publication);
     void sendReport();
     bool holdsLease() const;
@@ -179,6 +190,7 @@
     fleet_limiter m_limiter;
     traffic_meter m_trafficMeter;
     load_shedder m_loadShedder;
+    crash_witness m_crashWitness;
 
     std::map<request_id, request_context> m_activeRequests;
     std::map<backend_call_id, request_id> m_calls;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -315,6 +315,15 @@
     return printAccepted(line.send("remove_host", {{"host", host.getValue()}}), line);
 }
 
+static int runQuarantineRelease(const words &arguments)
+{
+    command_line line("quarantine release", "Serves requests with a trait again.");
+    TCLAP::UnlabeledValueArg<std::string> service("service", "Name of the service.", true, "", "SERVICE", line.line());
+    TCLAP::UnlabeledValueArg<std::string> trait("trait", "The trait, as 'quarantine list' shows it.", true, "", "TRAIT", line.line());
+    line.parse(arguments);
+    return printAccepted(line.send("release_trait", {{"service", service.getValue()}, {"trait", trait.getValue()}}), line);
+}
+
 static int runExplain(const words &arguments)
 {
     TCLAP::CmdLine line("Tells from the logs of several processes, in JSON form, what became of a request. '*' marks the line that decided it.", ' ', "0.1.0");
@@ -397,6 +406,14 @@
               line.parse(rest);
               return printList("/v1/claims", {"account", "key", "service", "opened_at_ms", "state"}, line);
           }}},
+        {"quarantine list",
+         {"traits whose requests are rejected",
+          [](const words &rest) {
+              command_line line("quarantine list", "Lists the traits whose requests are rejected, because they crash servers.");
+              line.parse(rest);
+              return printList("/v1/quarantine", {"service", "trait", "crashes"}, line);
+          }}},
+        {"quarantine release", {"serve requests with a trait again", runQuarantineRelease}},
         {"claims show", {"what became of a request", runClaimsShow}},
         {"claims settle", {"record the outcome of an unknown claim", runClaimsSettle}},
     };
--- a/src/control_pipe/fleet_state.cpp
+++ b/src/control_pipe/fleet_state.cpp
@@ -8,6 +8,9 @@
 /** Number of command results kept for retries; the oldest are evicted first. */
 static constexpr std::size_t maxCommandResults = 10'000;
 
+/** Number of traits in quarantine; a fleet in which that many traits crash servers has another fault. */
+static constexpr std::size_t maxQuarantined = 256;
+
 static status reject(error_kind kind, std::string what, std::string remedy)
 {
     return error{kind, std::move(what), std::move(remedy)};
@@ -311,6 +314,27 @@
     return {};
 }
 
+status fleet_state::change(const quarantine_trait &change, revision)
+{
+    if (m_quarantine.size() >= maxQuarantined) {
+        return reject(error_kind::InvalidRequest,
+                      std::to_string(maxQuarantined) + " traits are in quarantine already",
+                      "release some with 'carawayloft quarantine release'");
+    }
+    m_quarantine.insert_or_assign({change.quarantine.service, change.quarantine.trait}, change.quarantine);
+    return {};
+}
+
+status fleet_state::change(const release_trait &change, revision)
+{
+    if (m_quarantine.erase(change.subject) == 0) {
+        return reject(error_kind::UnknownQuarantine,
+                      "'" + change.subject.trait.value() + "' of service '" + change.subject.service.value() + "' is not in quarantine",
+                      "list the traits in quarantine with 'carawayloft quarantine list'");
+    }
+    return {};
+}
+
 bool fleet_state::restore(const fleet_snapshot &snapshot)
 {
     if (snapshot.at < m_at) {
@@ -321,6 +345,9 @@
     m_lastOperatorChange = snapshot.lastOperatorChange;
     m_lastAuthor = snapshot.lastAuthor;
     m_configuration = snapshot.configuration;
+    for (const quarantine_record &each : snapshot.quarantine) {
+        m_quarantine.emplace(service_trait{each.service, each.trait}, each);
+    }
     for (const zone_record &each : snapshot.zones) {
         m_zones.emplace(each.zone, each);
     }
@@ -360,7 +387,8 @@
                             {},
                             m_lastOperatorChange,
                             m_lastAuthor,
-                            m_configuration};
+                            m_configuration,
+                            valuesOf(m_quarantine)};
     for (const command_id &each : m_commandResultOrder) {
         snapshot.commandResults.push_back(m_commandResults.at(each));
     }
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -55,6 +55,10 @@
         return "malformed_frame";
     case error_kind::VersionMismatch:
         return "version_mismatch";
+    case error_kind::Quarantined:
+        return "quarantined";
+    case error_kind::UnknownQuarantine:
+        return "unknown_quarantine";
     }
     return "unknown";
 }
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -101,6 +101,14 @@
         return {"fleet_led", severity::Info};
     case event_number::ModelAssessed:
         return {"model_assessed", severity::Info};
+    case event_number::CrashRecorded:
+        return {"crash_recorded", severity::Warning};
+    case event_number::TraitSuspected:
+        return {"trait_suspected", severity::Warning};
+    case event_number::TraitQuarantined:
+        return {"trait_quarantined", severity::Error};
+    case event_number::TraitReleased:
+        return {"trait_released", severity::Info};
     case event_number::RoleChanged:
         return {"role_changed", severity::Info};
     case event_number::ChangeAccepted:
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -23,10 +23,11 @@
         if (other.record.startedAt > record.startedAt) {
             return false;
         }
+        const bool crashed = other.record.state != backend_state::Draining && !other.confirmedDown;
         other.record.state = backend_state::Left;
         other.confirmedDown = true;
         other.lostAt = now;
-        out.push_back({id});
+        out.push_back({id, crashed});
     }
     return true;
 }
@@ -60,7 +61,9 @@
         record.loaded = current.record.loaded;
     }
     if (!sameStart || recordsDiffer(current.record, record)) {
-        out.push_back({record.backend});
+        const bool wasReady = current.record.state == backend_state::Ready || current.record.state == backend_state::Lost;
+        const bool crashed = known != m_entries.end() && !sameStart && wasReady && !current.confirmedDown;
+        out.push_back({record.backend, crashed});
     }
     if (sameStart && current.record.state == backend_state::Lost) {
         current.recoveredAt = now;
@@ -90,15 +93,18 @@
         return {};
     }
     entry &current = known->second;
+    const bool wasDown = current.confirmedDown;
     if (current.record.state == backend_state::Lost || current.record.state == backend_state::Left) {
-        current.confirmedDown = current.confirmedDown || in.confirmed;
-        return {};
+        const bool crashed = in.confirmed && !wasDown && current.record.state == backend_state::Lost;
+        current.confirmedDown = wasDown || in.confirmed;
+        return crashed ? std::vector<output>{{in.backend, true}} : std::vector<output>();
     }
+    const bool wasReady = current.record.state == backend_state::Ready;
     current.record.state = backend_state::Lost;
     current.record.membership = {};
     current.confirmedDown = in.confirmed;
     current.lostAt = now;
-    return {{in.backend}};
+    return {{in.backend, in.confirmed && wasReady}};
 }
 
 std::vector<backend_registry::output> backend_registry::handle(const backend_record_expired &in, time_point)
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -46,6 +46,7 @@
     }
     checkSilentBackends();
     expireRecords();
+    stepCorrelator(crash_tick{});
     reconcile();
 }
 
@@ -68,6 +69,8 @@
     }
     m_leadsSince = m_now;
     m_registry = backend_registry();
+    m_correlator = crash_correlator();
+    stepCorrelator(quarantine_changed{m_quarantinedTraits});
     const publish_fleet inherited = m_mirror.snapshot(m_now);
     for (const backend_record &each : inherited.backends) {
         m_registry.step(mirrored_backend_record{each}, m_now);
@@ -90,6 +93,12 @@
     reconcile();
 }
 
+void fleet_pipe::handle(const quarantined_traits_changed &in)
+{
+    m_quarantinedTraits = in.traits;
+    stepCorrelator(quarantine_changed{in.traits});
+}
+
 void fleet_pipe::handle(const check_in_received &in)
 {
     const bool known
@@ -150,7 +159,8 @@
     if (isNew) {
         m_out.emplace_back(publish_to_gateway{in.gateway, snapshot(m_now)});
     }
-    gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}};
+    correlateCrashes(in.report);
+    gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}, m_correlator.suspects()};
     std::map<group_epoch, group_load> others;
     for (const auto &[link, each] : m_gateways) {
         if (link == in.gateway) {
@@ -177,6 +187,26 @@
     }
 }
 
+/** Whether the server has ended unannounced, as far as the registry still knows. */
+bool fleet_pipe::isKnownToHaveCrashed(const backend_id &backend) const
+{
+    const backend_registry::entry *entry = m_registry.find(backend);
+    return entry != nullptr && entry->confirmedDown && entry->record.state == backend_state::Lost;
+}
+
+void fleet_pipe::correlateCrashes(const gateway_report &report)
+{
+    if (report.exposures.empty() && report.survivals.empty()) {
+        return;
+    }
+    for (const crash_exposure &each : report.exposures) {
+        if (isKnownToHaveCrashed(each.backend)) {
+            stepCorrelator(backend_crashed{each.backend});
+        }
+    }
+    stepCorrelator(crash_evidence{report.exposures, report.survivals});
+}
+
 /** Probes a backend server, unless it is gone or was probed within probeInterval. */
 void fleet_pipe::startProbe(const backend_id &backend)
 {
@@ -346,11 +376,21 @@
     for (const backend_record_changed &each : changes) {
         change.backends.push_back(currentRecord(each.backend, m_now));
         m_out.emplace_back(log_backend_change{change.backends.back(), reason});
+        if (each.crashed) {
+            stepCorrelator(backend_crashed{each.backend});
+        }
     }
     publish(std::move(change));
     reconcile();
 }
 
+void fleet_pipe::stepCorrelator(const crash_correlator_input &in)
+{
+    for (const crash_correlator::output &each : m_correlator.step(in, m_now)) {
+        std::visit([this](const auto &out) { m_out.emplace_back(out); }, each);
+    }
+}
+
 void fleet_pipe::stepController(const group_controller_input &in)
 {
     for (const group_controller::output &each : m_controller.step(in, m_now)) {
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -50,6 +50,10 @@
 void gateway_pipe::dispatch(request_context &context)
 {
     m_waiting.erase(context.request.request);
+    if (isQuarantined(context)) {
+        rejectQuarantined(context);
+        return;
+    }
     if (m_now >= context.deadline) {
         giveUp(context);
         return;
@@ -151,6 +155,7 @@
     context.sentAt = m_now;
     context.lastByteAt = m_now;
     context.answerBegunAt.reset();
+    context.survivalRecorded = false;
     context.headReceived = false;
     context.isStreaming = false;
     context.body.clear();
@@ -213,19 +218,12 @@
     }
 }
 
-/** Records a call that its server ended; only a request whose answer had not begun may be why. */
-void gateway_pipe::recordLostCall(const request_context &context)
-{
-    if (!context.answerBegunAt) {
-        emit(unanswered_call_lost{context.request.request, context.backend, context.request.traits});
-    }
-}
-
 /** Ends a failed call and dispatches the request again if it may run again. */
 void gateway_pipe::handleCallFailure(request_context &context, bool mayHaveRun, std::string reason)
 {
     recordOutcome(context, true);
     const backend_id from = context.backend;
+    const bool isSuspect = mayHaveRun && mayHaveCrashedItsServer(context) && m_crashWitness.isSuspect(context.service->service, context.request.traits, m_now);
     endCall(context);
     context.triedBackends.insert(from);
     context.lastFailure = std::move(reason);
@@ -234,7 +232,7 @@
         m_serverStats[from].avoidedUntil = m_now + avoidanceTime;
     }
     const bool mayRetry = context.possibleRuns == 0 || (context.route->allowsRetry() && context.possibleRuns < context.route->attempts);
-    if (!mayRetry || context.sendCount >= maxSends || context.splice.hasGap()) {
+    if (!mayRetry || isSuspect || context.sendCount >= maxSends || context.splice.hasGap()) {
         giveUp(context);
         return;
     }
@@ -323,6 +321,7 @@
     }
     if (!context->isStreaming) {
         context->answerBegunAt = context->answerBegunAt.value_or(m_now);
+        recordAnswerProgress(*context, false);
         context->body += in.bytes;
         if (context->body.size() > maxWholeAnswerBytes) {
             emit(cancel_call{in.call});
@@ -338,6 +337,7 @@
     }
     if (!events.empty()) {
         context->answerBegunAt = context->answerBegunAt.value_or(m_now);
+        recordAnswerProgress(*context, false);
         if (context->eventRelayed) {
             context->longestPause = std::max(context->longestPause, std::chrono::duration_cast<duration>(m_now - context->lastRelayedAt));
         }
@@ -358,6 +358,7 @@
         return;
     }
     recordOutcome(*context, context->status >= http_status::internalServerError);
+    recordAnswerProgress(*context, true);
     const request_id request = context->request.request;
     if (context->isStreaming) {
         emit(finish_answer{request});
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -115,6 +115,9 @@
             affected.push_back(request);
         }
     }
+    if (const auto known = m_view.groups().find(group); known != m_view.groups().end()) {
+        recordLostCalls(known->second.head(), affected);
+    }
     if (!affected.empty()) {
         emit(group_suspended{group, reason, silence, affected.size()});
     }
@@ -130,16 +133,8 @@
 void gateway_pipe::handle(const control_message &in)
 {
     std::visit(overloaded{
-                   [&](const publish_snapshot &message) {
-                       for (const auto &each : m_fleet.step(message, m_now)) {
-                           std::visit([this](const auto &out) { emit(out); }, each);
-                       }
-                   },
-                   [&](const publish_change &message) {
-                       for (const auto &each : m_fleet.step(message, m_now)) {
-                           std::visit([this](const auto &out) { emit(out); }, each);
-                       }
-                   },
+                   [&](const publish_snapshot &message) { applyFleetChange(message); },
+                   [&](const publish_change &message) { applyFleetChange(message); },
                    [&](const publish_fleet &message) { applyPublication(message); },
                    [&](const gateway_grant &message) { applyGrant(message); },
                    [](const auto &) {},
@@ -147,9 +142,20 @@
                in.message);
 }
 
+void gateway_pipe::applyFleetChange(const published_fleet::input &change)
+{
+    for (const published_fleet::output &each : m_fleet.step(change, m_now)) {
+        std::visit([this](const auto &out) { emit(out); }, each);
+    }
+    dropQuarantined();
+}
+
 void gateway_pipe::applyPublication(const publish_fleet &publication)
 {
     m_view.apply(publication, m_now);
+    if (publication.snapshot) {
+        m_crashWitness.reportAgain(); // It comes from a leader that has just taken over, or just heard of this gateway.
+    }
     for (const retired_group &each : publication.retiredGroups) {
         suspendGroup(each.epoch, "closed by control");
     }
@@ -168,6 +174,7 @@
     m_reportedAt.erase(m_reportedAt.begin(), std::next(reported));
     m_limiter.setGateways(grant.gateways, m_now);
     m_loadShedder.setDemand(grant.modelTraffic);
+    m_crashWitness.setSuspects(grant.suspects);
     m_otherGateways = grant.gateways > 0 ? grant.gateways - 1 : 0;
     for (auto &[epoch, monitor] : m_groupMonitors) {
         const auto others = std::find_if(grant.others.begin(), grant.others.end(), [&, id = epoch](const group_load &each) { return each.epoch == id; });
@@ -197,6 +204,8 @@
         report.unreachable.push_back(backend);
     }
     report.modelTraffic = m_trafficMeter.averages(m_now);
+    report.exposures = m_crashWitness.takeExposures(m_now);
+    report.survivals = m_crashWitness.survivals(m_now);
     m_reportedAt.emplace(m_lastRound, m_now);
     while (m_reportedAt.size() > maxPendingReports) {
         m_reportedAt.erase(m_reportedAt.begin());
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -250,7 +250,9 @@
                                                                                        "confirm_plan",
                                                                                        "cancel_plan",
                                                                                        "advance_plan",
-                                                                                       "put_configuration"};
+                                                                                       "put_configuration",
+                                                                                       "quarantine_trait",
+                                                                                       "release_trait"};
     return names[change.index()];
 }
 
@@ -262,25 +264,34 @@
         return;
     }
     logEvent(event_number::ChangeAccepted, {{"revision", out.at}, {"change", kind}, {"author", out.command.author}});
-    std::visit(overloaded{
-                   [&](const put_zone &change) {
-                       logEvent(event_number::ZoneChanged, {{"zone", change.zone.zone}, {"state", carawayloft::nameOf(change.zone.state)}});
-                   },
-                   [&](const propose_plan &) {
-                       logEvent(event_number::PlanProposed, {{"plan", out.at}});
-                   },
-                   [&](const confirm_plan &change) {
-                       logEvent(event_number::PlanConfirmed, {{"plan", change.plan}, {"author", out.command.author}});
-                   },
-                   [&](const cancel_plan &change) {
-                       logEvent(event_number::PlanCancelled, {{"plan", change.plan}, {"author", out.command.author}});
-                   },
-                   [&](const advance_plan &change) {
-                       logEvent(event_number::PlanStepDone, {{"plan", change.plan}, {"step", change.step}});
-                   },
-                   [](const auto &) {},
-               },
-               out.command.change);
+    std::visit(
+        overloaded{
+            [&](const put_zone &change) {
+                logEvent(event_number::ZoneChanged, {{"zone", change.zone.zone}, {"state", carawayloft::nameOf(change.zone.state)}});
+            },
+            [&](const propose_plan &) {
+                logEvent(event_number::PlanProposed, {{"plan", out.at}});
+            },
+            [&](const confirm_plan &change) {
+                logEvent(event_number::PlanConfirmed, {{"plan", change.plan}, {"author", out.command.author}});
+            },
+            [&](const cancel_plan &change) {
+                logEvent(event_number::PlanCancelled, {{"plan", change.plan}, {"author", out.command.author}});
+            },
+            [&](const advance_plan &change) {
+                logEvent(event_number::PlanStepDone, {{"plan", change.plan}, {"step", change.step}});
+            },
+            [&](const quarantine_trait &change) {
+                const quarantine_record &made = change.quarantine;
+                logEvent(event_number::TraitQuarantined,
+                         {{"service", made.service}, {"trait", made.trait}, {"crashes", made.crashes}, {"author", out.command.author}});
+            },
+            [&](const release_trait &change) {
+                logEvent(event_number::TraitReleased, {{"service", change.subject.service}, {"trait", change.subject.trait}, {"author", out.command.author}});
+            },
+            [](const auto &) {},
+        },
+        out.command.change);
 }
 
 void control_task::execute(const change_in_force &out)
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -106,6 +106,10 @@
     void execute(const group_changed &out);
     void execute(const group_retired &out);
     void execute(const model_assessed &out);
+    void execute(const crash_recorded &out);
+    void execute(const trait_suspected &out);
+    void execute(const quarantine_proposed &out);
+    void execute(const quarantine_expired &out);
     void updateFleetLeadership();
     void updateFleetConfiguration();
     void handleGatewayReport(link_id gateway, const gateway_report &report);
@@ -159,6 +163,7 @@
     bool m_isFleetLeader = false;
     configuration_version m_configurationVersion;
     std::set<availability_zone_id> m_zonesOutOfService;
+    std::set<service_trait> m_quarantinedTraits;
     revision m_publishedRevision; /**< All changes up to this revision have been sent to the subscribers. */
     log_index m_membersSeenAt;
     peer_links m_peers;
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -135,6 +135,28 @@
     m_metrics.setGauge("carawayloft_model_on_time_expected", label, out.onTimeShare);
 }
 
+void control_task::execute(const crash_recorded &out)
+{
+    logEvent(event_number::CrashRecorded, {{"backend", out.backend}, {"service", out.service}, {"requests", out.requests}});
+    m_metrics.count("carawayloft_crashes_total", "service=\"" + out.service.value() + "\"");
+}
+
+void control_task::execute(const trait_suspected &out)
+{
+    logEvent(
+        event_number::TraitSuspected, {{"service", out.subject.service}, {"trait", out.subject.trait}, {"crashes", out.crashes}, {"requests", out.requests}});
+}
+
+void control_task::execute(const quarantine_proposed &out)
+{
+    run(operator_change{operator_request_token(), fleet_command{{}, "crash correlator", {}, quarantine_trait{out.quarantine}}, true});
+}
+
+void control_task::execute(const quarantine_expired &out)
+{
+    run(operator_change{operator_request_token(), fleet_command{{}, "quarantine time", {}, release_trait{out.subject}}, true});
+}
+
 /** Starts to lead the fleet once the leader lease rules out another leader, and stops when this replica is no longer the log's leader. */
 void control_task::updateFleetLeadership()
 {
@@ -153,7 +175,7 @@
     return m_isFleetLeader && !m_stopping && m_pipe->log().holdsLeaderLease(monotonicNow());
 }
 
-/** Passes changes of services and availability zones in the replicated state to the fleet pipe. */
+/** Passes changes of services, availability zones and quarantines in the replicated state to the fleet pipe. */
 void control_task::updateFleetConfiguration()
 {
     const fleet_state &state = m_pipe->fleet();
@@ -176,6 +198,14 @@
         m_zonesOutOfService = outOfService;
         runFleet(zones_out_changed{outOfService});
     }
+    std::set<service_trait> quarantined;
+    for (const auto &[subject, record] : state.quarantine()) {
+        quarantined.insert(subject);
+    }
+    if (quarantined != m_quarantinedTraits) {
+        m_quarantinedTraits = quarantined;
+        runFleet(quarantined_traits_changed{quarantined});
+    }
 }
 
 std::vector<endpoint> control_task::replicaFrameEndpoints() const
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -32,6 +32,7 @@
     case error_kind::UnknownService:
     case error_kind::UnknownPlan:
     case error_kind::UnknownClaim:
+    case error_kind::UnknownQuarantine:
         return 404;
     case error_kind::RevisionConflict:
     case error_kind::PlanConflict:
@@ -176,6 +177,7 @@
         m_metrics.setGauge("carawayloft_log_bytes", {}, static_cast<double>(m_store.segmentBytes()));
         m_metrics.setGauge("carawayloft_claims", {}, static_cast<double>(m_pipe->claims().size()));
         m_metrics.setGauge("carawayloft_subscribers", {}, static_cast<double>(m_pipe->published().subscribers()));
+        m_metrics.setGauge("carawayloft_quarantined_traits", {}, static_cast<double>(m_pipe->fleet().quarantine().size()));
         for (const auto &[service, measured] : m_pipe->measured().services()) {
             const std::string label = "service=\"" + service.value() + "\"";
             m_metrics.setGauge("carawayloft_groups", label, static_cast<double>(measured.groups));
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -587,3 +587,111 @@
     ASSERT_EQ(outputsOf<call_backend>().size(), 1U);
     EXPECT_EQ(outputsOf<call_backend>().front().resumeAfter, stream_event_id(1));
 }
+
+/** A gateway whose callers send requests with a part of a prompt that may crash servers. */
+class GatewayQuarantine : public GatewayPipe
+{
+protected:
+    gateway_request makeSuspect(std::uint64_t id)
+    {
+        gateway_request request = makeRequest(id, "/draft/x");
+        request.traits = {request_trait("request:" + std::to_string(id)), request_trait("part:dead")};
+        return request;
+    }
+
+    call_backend startSuspect(std::uint64_t id)
+    {
+        step(makeSuspect(id));
+        const auto calls = outputsOf<call_backend>();
+        EXPECT_EQ(calls.size(), 1U);
+        return calls.empty() ? call_backend{} : calls.front();
+    }
+
+    void quarantine()
+    {
+        receive(publish_change{revision(), revision(1), fleet_command{{}, "test", {}, quarantine_trait{{engineService, request_trait("part:dead"), 3}}}});
+    }
+
+    void suspect()
+    {
+        advance(duration(300));
+        tick();
+        receive(gateway_grant{lastReport.round, revision(), duration(3'000), 1, {}, {}, {}, {{engineService, request_trait("part:dead")}}});
+    }
+};
+
+TEST_F(GatewayQuarantine, ReportsTheTraitsOfARequestWhoseServerClosedTheConnectionUnanswered)
+{
+    const call_backend call = startSuspect(1);
+    step(backend_call_failed{call.call, false, "reset", true});
+    EXPECT_EQ(outputsOf<unanswered_call_lost>().size(), 1U);
+    EXPECT_EQ(outputsOf<call_backend>().size(), 1U);
+    runFor(duration(300));
+    ASSERT_EQ(lastReport.exposures.size(), 1U);
+    EXPECT_EQ(lastReport.exposures.front().backend, call.backend);
+    EXPECT_EQ(lastReport.exposures.front().requests.front().traits, makeSuspect(1).traits);
+}
+
+TEST_F(GatewayQuarantine, DoesNotReportARequestThatItsServerWasAnswering)
+{
+    const call_backend call = startSuspect(1);
+    answer(call, 200, true);
+    step(backend_bytes_received{call.call, event(1)});
+    advance(duration(100));
+    step(backend_call_failed{call.call, false, "reset", true});
+    EXPECT_TRUE(outputsOf<unanswered_call_lost>().empty());
+}
+
+TEST_F(GatewayQuarantine, DoesNotRepeatASuspectWhoseServerEnded)
+{
+    suspect();
+    const call_backend call = startSuspect(1);
+    step(backend_call_failed{call.call, false, "reset", true});
+    EXPECT_TRUE(outputsOf<call_backend>().empty());
+    ASSERT_EQ(outputsOf<reject_request>().size(), 1U);
+    EXPECT_EQ(outputsOf<reject_request>().front().outcome, run_outcome::Unknown);
+}
+
+TEST_F(GatewayQuarantine, ReportsThatAServerSurvivedASuspect)
+{
+    suspect();
+    const call_backend call = startSuspect(1);
+    answer(call, 200, true);
+    step(backend_bytes_received{call.call, event(1)});
+    advance(duration(100));
+    step(backend_bytes_received{call.call, event(2)});
+    runFor(duration(300));
+    ASSERT_EQ(lastReport.survivals.size(), 1U);
+    EXPECT_EQ(lastReport.survivals.front().subject.trait, request_trait("part:dead"));
+}
+
+TEST_F(GatewayQuarantine, RejectsARequestInQuarantineAtOnce)
+{
+    quarantine();
+    step(makeSuspect(1));
+    ASSERT_EQ(outputsOf<reject_request>().size(), 1U);
+    EXPECT_EQ(outputsOf<reject_request>().front().status, 503U);
+    EXPECT_EQ(outputsOf<reject_request>().front().outcome, run_outcome::DidNotRun);
+    EXPECT_EQ(outputsOf<reject_request>().front().retryAfter, quarantineTime);
+    startCall(2, "/draft/x");
+}
+
+TEST_F(GatewayQuarantine, CancelsAnUnansweredCallWhoseTraitIsQuarantinedMeanwhile)
+{
+    const call_backend call = startSuspect(1);
+    quarantine();
+    ASSERT_EQ(outputsOf<cancel_call>().size(), 1U);
+    EXPECT_EQ(outputsOf<cancel_call>().front().call, call.call);
+    EXPECT_EQ(outputsOf<reject_request>().front().outcome, run_outcome::Unknown);
+}
+
+TEST_F(GatewayQuarantine, RejectsAWaitingRequestWhoseTraitIsQuarantinedMeanwhile)
+{
+    publish_fleet change;
+    change.retiredGroups = {{group_epoch(1)}, {group_epoch(2)}};
+    receive(change);
+    step(makeSuspect(1));
+    quarantine();
+    ASSERT_EQ(outputsOf<reject_request>().size(), 1U);
+    EXPECT_EQ(outputsOf<reject_request>().front().outcome, run_outcome::DidNotRun);
+}
