--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -37,6 +37,7 @@
     bool wrongBackend = false; /**< A different server uses the address. */
     bool requestIdMismatch = false; /**< The answer belongs to another request. */
     bool isStream = false;
+    std::optional<double> requestLimit{}; /**< Requests per second that the server takes from all gateways together, if it named a limit. */
 };
 
 struct backend_bytes_received {
@@ -131,6 +132,12 @@
     std::vector<request_trait> traits;
 };
 
+/** A backend server named another limit than before, or none any more, in an answer to this gateway. */
+struct backend_limit_observed {
+    backend_id backend;
+    std::optional<double> requestsPerSecond; /**< From all gateways together. */
+};
+
 /** The gateway stops sending to a group for a while. */
 struct group_suspended {
     group_epoch group;
@@ -177,6 +184,7 @@
                                          backend_chosen,
                                          call_repeated,
                                          unanswered_call_lost,
+                                         backend_limit_observed,
                                          group_suspended,
                                          request_ended,
                                          serving_lease_changed>;
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -6,6 +6,7 @@
 #include <carawayloft/gateway/fleet_limiter.h>
 #include <carawayloft/gateway/gateway_messages.h>
 #include <carawayloft/gateway/group_monitor.h>
+#include <carawayloft/gateway/limit_observations.h>
 #include <carawayloft/gateway/load_shedder.h>
 #include <carawayloft/gateway/stream_splice.h>
 #include <carawayloft/gateway/traffic_meter.h>
@@ -191,6 +192,7 @@
     traffic_meter m_trafficMeter;
     load_shedder m_loadShedder;
     crash_witness m_crashWitness;
+    limit_observations m_limitObservations;
 
     std::map<request_id, request_context> m_activeRequests;
     std::map<backend_call_id, request_id> m_calls;
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -47,6 +47,8 @@
         return {"claim_decided", severity::Info};
     case event_number::UnansweredCallLost:
         return {"unanswered_call_lost", severity::Warning};
+    case event_number::BackendLimitObserved:
+        return {"backend_limit_observed", severity::Info};
     case event_number::WorkRefused:
         return {"work_refused", severity::Info};
     case event_number::LimitChanged:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -35,6 +35,7 @@
     ConfigurationInForce = 216,
     ConfigurationUnreadable = 217,
     UnansweredCallLost = 218,
+    BackendLimitObserved = 219,
     WorkRefused = 300,
     LimitChanged = 301,
     BackendAnnounced = 302,
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -262,6 +262,9 @@
         handleCallFailure(*context, true, "the answer belongs to another request");
         return;
     }
+    if (!in.wrongBackend && m_limitObservations.record(context->backend, in.requestLimit, m_now)) {
+        emit(backend_limit_observed{context->backend, in.requestLimit});
+    }
     if (in.wrongBackend || in.notExecuted) {
         handleNotExecuted(*context, in);
         return;
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -367,6 +367,12 @@
     m_metrics.count("carawayloft_unanswered_calls_lost_total");
 }
 
+void gateway_task::execute(const backend_limit_observed &out)
+{
+    logEvent(event_number::BackendLimitObserved,
+             {{"backend", out.backend}, {"requests_per_second", out.requestsPerSecond ? std::to_string(*out.requestsPerSecond) : std::string("none")}});
+}
+
 void gateway_task::execute(const group_suspended &out)
 {
     logEvent(event_number::GroupSuspended, {{"group", out.group}, {"silence_ms", out.silence.count()}, {"moved", out.moved}, {"reason", out.reason}});
--- a/src/tasks/gateway_task.h
+++ b/src/tasks/gateway_task.h
@@ -77,6 +77,7 @@
     void execute(const backend_chosen &out);
     void execute(const call_repeated &out);
     void execute(const unanswered_call_lost &out);
+    void execute(const backend_limit_observed &out);
     void execute(const group_suspended &out);
     void execute(const request_ended &out);
     void execute(const serving_lease_changed &out);
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -258,3 +258,20 @@
     EXPECT_EQ(traitsOf(",,:,:5,").size(), 1U);
     EXPECT_EQ(traitsOf("\xff\xfe:5,\"}:1,b:2").size(), 1U);
 }
+
+static std::optional<double> requestLimitOf(const std::string &header)
+{
+    http_started answer;
+    answer.status = 200;
+    answer.headers = {{platform::wire::requestLimit, header}};
+    return frontEnd().decodeBackendAnswer(answer, makeRequest("GET", "/x"), backend_call_id(1)).requestLimit;
+}
+
+TEST(FrontEnd, ReadsTheRequestLimitOfAServer)
+{
+    EXPECT_EQ(requestLimitOf("5.9"), 5.9);
+    EXPECT_EQ(requestLimitOf("0"), 0.0);
+    for (const char *header : {"", "many", "-1", "nan", "inf", "1e999", "5 a second"}) {
+        EXPECT_EQ(requestLimitOf(header), std::nullopt) << header;
+    }
+}
