--- a/tests/process/crashing_server.cpp
+++ b/tests/process/crashing_server.cpp
@@ -43,6 +43,12 @@
     m_serving.join();
 }
 
+void crashing_server::setAnswerHeader(const std::string &line)
+{
+    const std::lock_guard lock(m_lock);
+    m_answerHeader = line;
+}
+
 std::vector<crashing_server::arrival> crashing_server::arrivals() const
 {
     const std::lock_guard lock(m_lock);
@@ -117,7 +123,11 @@
     static const std::string idHeader = "X-Carawayloft-Request-Id: ";
     const std::size_t begin = head.find(idHeader);
     const std::string requestId = begin == std::string::npos ? std::string() : head.substr(begin, head.find("\r\n", begin) - begin) + "\r\n";
-    const std::string further = m_options.answerHeader.empty() ? std::string() : m_options.answerHeader + "\r\n";
+    std::string further;
+    {
+        const std::lock_guard lock(m_lock);
+        further = m_answerHeader.empty() ? std::string() : m_answerHeader + "\r\n";
+    }
     const auto bytes
         = std::make_shared<std::string>("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Carawayloft-Response-Seal: seal\r\n" + requestId + further + "\r\nok");
     asio::async_write(one->socket, asio::buffer(*bytes), [this, one, bytes](const std::error_code &failure, std::size_t) {
--- a/tests/process/crashing_server.h
+++ b/tests/process/crashing_server.h
@@ -27,7 +27,6 @@
         std::string ip;
         std::string control; /**< Address of the control replica. */
         std::string poison; /**< Part of a prompt; empty if nothing crashes the server. */
-        std::string answerHeader; /**< Further header line of every answer, or empty. */
     };
     struct arrival {
         std::chrono::steady_clock::time_point at;
@@ -40,6 +39,9 @@
     crashing_server(const crashing_server &) = delete;
     crashing_server &operator=(const crashing_server &) = delete;
 
+    /** Adds a header line to every answer from now on; none if it is empty. */
+    void setAnswerHeader(const std::string &line);
+
     std::vector<arrival> arrivals() const;
 
     std::vector<std::chrono::steady_clock::time_point> crashes() const;
@@ -74,6 +76,7 @@
     std::atomic<bool> m_down = false;
     std::uint64_t m_announcements = 0;
     mutable std::mutex m_lock;
+    std::string m_answerHeader;
     std::vector<arrival> m_arrivals;
     std::vector<std::chrono::steady_clock::time_point> m_crashes;
     std::thread m_serving;
--- a/tests/process/platform_incidents_test.cpp
+++ b/tests/process/platform_incidents_test.cpp
@@ -20,7 +20,7 @@
 class PlatformIncidents : public platform_processes
 {
 protected:
-    void startSystem(std::size_t servers, const std::string &poison, const std::string &answerHeader = {})
+    void startSystem(std::size_t servers, const std::string &poison)
     {
         writeCore("core", 1);
         m_core = start("core", "true");
@@ -31,8 +31,8 @@
             m_fronts.push_back(start(name, "true"));
         }
         for (std::size_t i = 0; i < servers; ++i) {
-            m_servers.push_back(std::make_unique<crashing_server>(
-                crashing_server::options{"i-" + std::to_string(i), net() + std::to_string(10 + i), coreAddress(1), poison, answerHeader}));
+            m_servers.push_back(
+                std::make_unique<crashing_server>(crashing_server::options{"i-" + std::to_string(i), net() + std::to_string(10 + i), coreAddress(1), poison}));
         }
         await("the configuration is taken", [this] { return put(coreAddress(1), routes()) == 200; });
         for (int host : {2, 3}) {
@@ -123,3 +123,51 @@
     EXPECT_LE(std::count_if(all.begin(), all.end(), [&](const auto &each) { return each.poisonous && each.at > bound; }), 3) << ended.size() << " crashes";
     EXPECT_GE(soundServed * 2, soundAsked.load());
 }
+
+TEST_F(PlatformIncidents, AServerThatNamesALimitGetsNoMoreFromAllGatewaysTogether)
+{
+    constexpr double limit = 2.0;
+    constexpr std::chrono::seconds window{4};
+    constexpr double allowed = 1.5 * limit * window.count() + 5.0;
+    startSystem(2, {});
+    for (const auto &each : m_servers) {
+        each->setAnswerHeader("Server-Limit: 2.0");
+    }
+    const auto begin = steady::now();
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < 8; ++i) {
+        callers.emplace_back([this, i](const std::stop_token &stop) {
+            while (!stop.stop_requested()) {
+                call(2 + i % 2, "aa:40,own:5");
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            }
+        });
+    }
+    std::this_thread::sleep_for(contactWindow + 3 * window);
+    const auto end = steady::now();
+    for (const auto &each : m_servers) {
+        std::vector<steady::time_point> late;
+        for (const auto &arrival : each->arrivals()) {
+            if (arrival.at > begin + contactWindow && arrival.at < end) {
+                late.push_back(arrival.at);
+            }
+        }
+        std::size_t most = 0;
+        for (std::size_t first = 0, last = 0; last < late.size(); ++last) {
+            while (late[last] >= late[first] + window) {
+                ++first;
+            }
+            most = std::max(most, last - first + 1);
+        }
+        EXPECT_LE(static_cast<double>(most), allowed);
+        EXPECT_GE(static_cast<double>(late.size()), limit * window.count()); // It is not starved either.
+        each->setAnswerHeader({});
+    }
+    const auto lifted = steady::now();
+    const auto busiestSecond = [&](const crashing_server &server) {
+        const auto all = server.arrivals();
+        return std::count_if(all.begin(), all.end(), [](const auto &each) { return each.at > steady::now() - std::chrono::seconds(1); });
+    };
+    await("the servers get more once they name no limit", [&] { return busiestSecond(*m_servers[0]) > 10 && busiestSecond(*m_servers[1]) > 10; });
+    EXPECT_LT(steady::now() - lifted, std::chrono::seconds(10));
+}
