Divide the request limits that servers name among the gateways

Cause: a limit that a server names was no part of what gateways know. No gateway read it, none told the others, and the choice of a server could not see it. The class of fault is a limit of the whole fleet that each process enforces, or not, by what it alone sees.

A gateway now keeps to a limit from the answer that names it, refusals and failures too, and reports it. Control publishes the limit with the server's record, so a gateway that has just started or never called the server keeps to it, and divides it among as many gateways as can have one request a second each. The latest answer to any gateway counts, and one without a limit lifts it. The load that a group can take counts no more than its head's limit.

The same cause elsewhere, in the limits of cold servers: a share below one request a second was rounded up to one, so that 390 gateways sent 390 a second where 36 are bearable; shares below one are now earned over time. A gateway that did not know the number of gateways took the whole limit; it now takes a 32nd. A send was taken from the limits before the retry budget said no, and was lost; asking and recording are now two steps.

--- a/include/carawayloft/fleet/backend_registry.h
+++ b/include/carawayloft/fleet/backend_registry.h
@@ -36,7 +36,15 @@
     backend_record record;
 };
 
-using backend_registry_input = std::variant<backend_check_in, backend_departure, backend_failure, backend_record_expired, mirrored_backend_record>;
+/** A backend server named a limit in an answer, or none. */
+struct request_limit_named {
+    backend_id backend;
+    double requestsPerSecond = 0.0; /**< From all gateways together; zero for no limit. */
+    time_point at;
+};
+
+using backend_registry_input
+    = std::variant<backend_check_in, backend_departure, backend_failure, backend_record_expired, mirrored_backend_record, request_limit_named>;
 
 // Outputs.
 
@@ -59,6 +67,7 @@
         time_point coldUntil;
         time_point lostAt; /**< When the server was lost or left. */
         time_point recoveredAt; /**< When the server was last heard again after a loss without a restart. */
+        time_point limitNamedAt; /**< Time of the answer that the record's request limit is from. */
         bool confirmedDown = false; /**< While the server is lost or has left: whether it is known to be down. */
     };
 
@@ -78,6 +87,7 @@
     std::vector<output> handle(const backend_failure &in, time_point now);
     std::vector<output> handle(const backend_record_expired &in, time_point now);
     std::vector<output> handle(const mirrored_backend_record &in, time_point now);
+    std::vector<output> handle(const request_limit_named &in, time_point now);
     bool supersedeOlderAtAddress(const backend_record &record, time_point now, std::vector<output> &out);
 
     std::map<backend_id, entry> m_entries;
--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -130,6 +130,20 @@
     }
 };
 
+/** The limit in the latest answer of a backend server to one gateway. */
+struct request_limit_report {
+    backend_id backend;
+    double requestsPerSecond = 0.0; /**< From all gateways together; zero for no limit. */
+    duration age{0};
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"backend", &request_limit_report::backend},
+                          field{"requests_per_second", &request_limit_report::requestsPerSecond},
+                          field{"age_ms", &request_limit_report::age});
+    }
+};
+
 /** A gateway's status report to the leader, which also asks to renew its serving lease. */
 struct gateway_report {
     std::uint64_t round = 0; /**< Echoed in the grant. */
@@ -139,6 +153,7 @@
     std::vector<model_traffic> modelTraffic;
     std::vector<crash_exposure> exposures;
     std::vector<trait_survival> survivals; /**< Of the suspects in the last grant. */
+    std::vector<request_limit_report> requestLimits; /**< Those that differ from what control has published. */
 
     static constexpr auto fields()
     {
@@ -148,7 +163,19 @@
                           field{"unreachable", &gateway_report::unreachable},
                           field{"asked", &gateway_report::modelTraffic},
                           field{"exposures", &gateway_report::exposures},
-                          field{"survivals", &gateway_report::survivals});
+                          field{"survivals", &gateway_report::survivals},
+                          field{"request_limits", &gateway_report::requestLimits});
+    }
+};
+
+/** A gateway's share of the limit that a backend server named. */
+struct request_share {
+    backend_id backend;
+    double requestsPerSecond = 0.0;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"backend", &request_share::backend}, field{"requests_per_second", &request_share::requestsPerSecond});
     }
 };
 
@@ -162,6 +189,7 @@
     std::vector<endpoint> replicas; /**< Frame addresses of all control replicas. */
     std::vector<model_traffic> modelTraffic; /**< Demand at all gateways, this one included. */
     std::vector<service_trait> suspects{}; /**< Traits that several crashes have in common. */
+    std::vector<request_share> requestShares{}; /**< Of published request limits; of those that are missing, this gateway has no share. */
 
     static constexpr auto fields()
     {
@@ -172,7 +200,8 @@
                           field{"others", &gateway_grant::others},
                           field{"replicas", &gateway_grant::replicas},
                           field{"asked", &gateway_grant::modelTraffic},
-                          field{"suspects", &gateway_grant::suspects});
+                          field{"suspects", &gateway_grant::suspects},
+                          field{"request_shares", &gateway_grant::requestShares});
     }
 };
 
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -3,6 +3,7 @@
 #include <carawayloft/fleet/backend_view.h>
 #include <carawayloft/fleet/crash_correlator.h>
 #include <carawayloft/fleet/fleet_pipe_messages.h>
+#include <carawayloft/fleet/request_shares.h>
 
 namespace carawayloft {
 
@@ -82,6 +83,7 @@
     bool groupProgresses(const backend_id &member) const;
     bool isUnreachableForAllUsers(const backend_id &backend) const;
     std::uint32_t countRecentGateways();
+    std::vector<request_share> sharesOf(link_id gateway);
     fleet_traffic totalTraffic() const;
     double trafficConfidence() const;
 
@@ -95,6 +97,7 @@
     backend_view m_mirror; /**< The leader's publications, while this replica does not lead. */
     backend_registry m_registry;
     group_controller m_controller;
+    request_shares m_requestShares;
     crash_correlator m_correlator;
     std::set<service_trait> m_quarantinedTraits;
     std::vector<service_settings> m_services;
--- a/include/carawayloft/fleet/fleet_records.h
+++ b/include/carawayloft/fleet/fleet_records.h
@@ -56,6 +56,7 @@
     std::vector<model_id> staged; /**< Models whose weights are on its host. */
     model_id loaded; /**< Model of its group, or of its last group since its start. */
     membership_report membership;
+    double requestLimit = 0.0; /**< Requests per second that it last said it takes from all gateways together; zero for no limit. */
 
     static constexpr auto fields()
     {
@@ -70,7 +71,8 @@
                           field{"cold_left_ms", &backend_record::coldLeft},
                           field{"staged", &backend_record::staged},
                           field{"loaded", &backend_record::loaded},
-                          field{"membership", &backend_record::membership});
+                          field{"membership", &backend_record::membership},
+                          field{"request_limit", &backend_record::requestLimit});
     }
 };
 
--- a/include/carawayloft/gateway/fleet_limiter.h
+++ b/include/carawayloft/gateway/fleet_limiter.h
@@ -2,9 +2,11 @@
 
 #include <carawayloft/core/ids.h>
 #include <carawayloft/gateway/sliding_window_counter.h>
+#include <carawayloft/gateway/token_bucket.h>
 
 #include <map>
 #include <optional>
+#include <random>
 
 namespace carawayloft {
 
@@ -17,6 +19,14 @@
     double coldRateSlack = 0.0; /**< Requests per second allowed in addition. */
 };
 
+/** Limits on the requests to one backend server, over all gateways. */
+struct send_limits {
+    double coldRequestsPerSecond = 0.0; /**< That a cold server sustains; zero for no limit. */
+    bool cold = false; /**< Otherwise the server is warm and may turn cold. */
+    std::optional<double> otherGatewaysRate; /**< Requests per second; if unknown, this gateway keeps to an equal share. */
+    std::optional<double> namedShare; /**< This gateway's share, in requests per second, of a limit that the server named. */
+};
+
 /**
  * Enforces this gateway's share of the fleet limits. Retries that its own requests allow count in full;
  * of the fixed part every gateway uses an equal share, so that all together keep the limit without
@@ -25,7 +35,8 @@
 class fleet_limiter
 {
 public:
-    explicit fleet_limiter(const fleet_limits &limits);
+    /** @p seed should differ between gateways, so that they do not all use small shares at the same moments. */
+    explicit fleet_limiter(const fleet_limits &limits, std::uint64_t seed = 1);
 
     /** Sets how many gateways share the limits, or have shared them within the last window. */
     void setGateways(std::uint32_t gateways, time_point now);
@@ -33,14 +44,22 @@
     /** Counts a request of a caller, which adds to the retry budget of the service. */
     void countRequest(const service_id &service, time_point now);
 
-    /** Takes one retry from the budget of the service; false if it is exhausted. */
-    bool takeRetry(const service_id &service, time_point now);
+    /** This gateway's part of a limit in requests per second that all gateways share equally. */
+    double equalShare(double limit) const;
+
+    /** Whether the budget of the service has a retry left. */
+    bool mayRetry(const service_id &service, time_point now);
+
+    /** Takes one retry from the budget of the service. */
+    void recordRetry(const service_id &service, time_point now);
 
-    /**
-     * Takes one send to a backend server; false if that exceeds its request rate. @p otherGatewaysRate is the rate of
-     * all other gateways per second; if it is unknown, this gateway keeps to an equal share.
-     */
-    bool takeSend(const backend_id &backend, double coldRequestsPerSecond, bool cold, std::optional<double> otherGatewaysRate, time_point now);
+    /** Whether one more request to the backend server keeps all limits. */
+    bool maySend(const backend_id &backend, const send_limits &limits, time_point now);
+
+    void recordSend(const backend_id &backend, time_point now);
+
+    /** Drops the state of a server that is gone. */
+    void forget(const backend_id &backend);
 
 private:
     struct service_window {
@@ -48,13 +67,26 @@
         sliding_window_counter retries;
     };
 
+    /** Requests to one backend server. */
+    struct backend_sends {
+        sliding_window_counter recent;
+        token_bucket cold; /**< For a share of the cold limit below one request per second. */
+        token_bucket named; /**< For the share of the limit that the server named. */
+        bool usesCold = false;
+        bool usesNamed = false;
+    };
+
     service_window &windowFor(const service_id &service);
+    backend_sends &sendsTo(const backend_id &backend);
+    bool keepsColdLimit(backend_sends &sends, const send_limits &limits, time_point now) const;
+    bool keepsNamedLimit(backend_sends &sends, const send_limits &limits, time_point now) const;
 
     fleet_limits m_limits;
     std::uint32_t m_gateways = 0; /**< Zero until control has reported the number. */
     time_point m_slackFrom; /**< When this gateway may start to use its share of the retry slack. */
     std::map<service_id, service_window> m_services;
-    std::map<backend_id, sliding_window_counter> m_sends;
+    std::map<backend_id, backend_sends> m_sends;
+    std::mt19937_64 m_random;
 };
 
 } // namespace carawayloft
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -124,7 +124,8 @@
     std::optional<candidate> chooseBackend(const request_context &context);
     std::optional<candidate> chooseGroup(const request_context &context);
     std::optional<candidate> chooseServer(const request_context &context);
-    std::optional<candidate> takeCheapest(const request_context &context, std::vector<candidate> candidates);
+    std::optional<candidate> chooseCheapest(const request_context &context, std::vector<candidate> candidates);
+    send_limits sendLimitsOf(const request_context &context, const candidate &target);
     bool acceptsRequests(const backend_view::backend &backend) const;
     void sendTo(request_context &context, const candidate &target);
     void dispatchWaiting();
@@ -143,6 +144,9 @@
     request_context *findByCall(backend_call_id call);
     void handleNotExecuted(request_context &context, const backend_answer_started &in);
     void recordOutcome(const request_context &context, bool failure);
+    double namedLimitOf(const backend_record &record) const;
+    std::optional<double> namedShareOf(const backend_record &record) const;
+    void recordNamedLimit(const backend_id &backend, std::optional<double> limit);
 
     // Requests that crash servers.
     bool isQuarantined(const request_context &context) const;
@@ -166,6 +170,7 @@
     void handle(const request_tick &in);
     void handle(const request_stop &in);
     void applyGrant(const gateway_grant &grant);
+    void forgetBackend(const backend_id &backend);
     void applyFleetChange(const published_fleet::input &change);
     void applyPublication(const publish_fleet &publication);
     void sendReport();
@@ -193,6 +198,8 @@
     load_shedder m_loadShedder;
     crash_witness m_crashWitness;
     limit_observations m_limitObservations;
+    std::map<backend_id, double> m_requestShares; /**< Shares of published limits, in requests per second. */
+    time_point m_requestSharesUntil;
 
     std::map<request_id, request_context> m_activeRequests;
     std::map<backend_call_id, request_id> m_calls;
--- a/include/carawayloft/gateway/load_shedder.h
+++ b/include/carawayloft/gateway/load_shedder.h
@@ -25,6 +25,9 @@
     /** Fractions to admit; @p groups counts the groups that serve the model, slow ones in proportion to their speed. */
     admission_shares sharesFor(const engine_profile &engine, const model_profile &model, double groups) const;
 
+    /** How many groups a head that takes this many requests per second counts for at most; zero stands for no limit. */
+    double groupsForRate(const engine_profile &engine, const model_profile &model, double requestsPerSecond) const;
+
     /** Whether to admit one more request. Admits the fraction evenly over time, since bursts make each other late. */
     bool admit(const engine_profile &engine, const model_profile &model, double groups, bool isReturning);
 
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -1,5 +1,7 @@
 #include <carawayloft/fleet/backend_registry.h>
 
+#include <carawayloft/fleet/request_limit.h>
+
 namespace carawayloft {
 
 std::vector<backend_registry::output> backend_registry::step(const input &in, time_point now)
@@ -57,6 +59,7 @@
     }
     entry &current = m_entries[in.record.backend];
     backend_record record = in.record;
+    record.requestLimit = sameStart ? current.record.requestLimit : 0.0;
     if (sameStart && record.loaded.value().empty()) {
         record.loaded = current.record.loaded;
     }
@@ -118,8 +121,23 @@
     if (m_entries.contains(in.record.backend)) {
         return {};
     }
-    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, false};
+    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, {}, false};
     return {};
 }
 
+/** Takes the limit in the latest answer to any gateway. */
+std::vector<backend_registry::output> backend_registry::handle(const request_limit_named &in, time_point)
+{
+    const auto known = m_entries.find(in.backend);
+    if (known == m_entries.end() || in.at <= known->second.limitNamedAt) {
+        return {};
+    }
+    known->second.limitNamedAt = in.at;
+    if (!requestLimitsDiffer(known->second.record.requestLimit, in.requestsPerSecond)) {
+        return {};
+    }
+    known->second.record.requestLimit = in.requestsPerSecond;
+    return {{in.backend}};
+}
+
 } // namespace carawayloft
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -160,7 +160,10 @@
         m_out.emplace_back(publish_to_gateway{in.gateway, snapshot(m_now)});
     }
     correlateCrashes(in.report);
-    gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}, m_correlator.suspects()};
+    for (const request_limit_report &each : in.report.requestLimits) {
+        stepRegistry(request_limit_named{each.backend, each.requestsPerSecond, m_now - std::max(each.age, duration(0))}, "request limit named");
+    }
+    gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}, m_correlator.suspects(), sharesOf(in.gateway)};
     std::map<group_epoch, group_load> others;
     for (const auto &[link, each] : m_gateways) {
         if (link == in.gateway) {
@@ -187,6 +190,16 @@
     }
 }
 
+std::vector<request_share> fleet_pipe::sharesOf(link_id gateway)
+{
+    std::set<link_id> gateways;
+    for (const auto &[link, each] : m_gateways) {
+        gateways.insert(link);
+    }
+    m_requestShares.update(m_registry, gateways, m_now);
+    return m_requestShares.sharesOf(gateway);
+}
+
 /** Whether the server has ended unannounced, as far as the registry still knows. */
 bool fleet_pipe::isKnownToHaveCrashed(const backend_id &backend) const
 {
--- a/src/gateway_pipe/fleet_limiter.cpp
+++ b/src/gateway_pipe/fleet_limiter.cpp
@@ -17,8 +17,15 @@
 static constexpr duration burstWindow{150};
 static constexpr double burstSlack = 1.0;
 
-fleet_limiter::fleet_limiter(const fleet_limits &limits)
+/** Largest burst to a server with a limit of its own, as the time in which its share earns it. */
+static constexpr std::chrono::duration<double> namedBurstTime{1.0};
+
+/** Number of gateways that is assumed until control has reported it. */
+static constexpr std::uint32_t gatewaysWhileUnknown = 32;
+
+fleet_limiter::fleet_limiter(const fleet_limits &limits, std::uint64_t seed)
     : m_limits(limits)
+    , m_random(seed)
 {
 }
 
@@ -42,33 +49,87 @@
     windowFor(service).requests.add(now);
 }
 
-bool fleet_limiter::takeRetry(const service_id &service, time_point now)
+bool fleet_limiter::mayRetry(const service_id &service, time_point now)
 {
     service_window &window = windowFor(service);
     const double earned = m_limits.retryRatio * static_cast<double>(window.requests.count(now));
     const double slack = m_gateways > 0 && now >= m_slackFrom ? m_limits.retrySlack / m_gateways : 0.0;
-    if (static_cast<double>(window.retries.count(now)) + 1.0 > sharedLimitShare * (earned + slack)) {
-        return false;
+    return static_cast<double>(window.retries.count(now)) + 1.0 <= sharedLimitShare * (earned + slack);
+}
+
+void fleet_limiter::recordRetry(const service_id &service, time_point now)
+{
+    windowFor(service).retries.add(now);
+}
+
+fleet_limiter::backend_sends &fleet_limiter::sendsTo(const backend_id &backend)
+{
+    const auto found = m_sends.find(backend);
+    if (found != m_sends.end()) {
+        return found->second;
     }
-    window.retries.add(now);
-    return true;
+    std::uniform_real_distribution<double> fraction(0.0, 1.0);
+    return m_sends
+        .emplace(backend, backend_sends{sliding_window_counter(sendWindow), token_bucket(fraction(m_random)), token_bucket(fraction(m_random)), false, false})
+        .first->second;
+}
+
+double fleet_limiter::equalShare(double limit) const
+{
+    return limit / (m_gateways == 0 ? gatewaysWhileUnknown : m_gateways);
 }
 
-bool fleet_limiter::takeSend(const backend_id &backend, double coldRequestsPerSecond, bool cold, std::optional<double> otherGatewaysRate, time_point now)
+bool fleet_limiter::keepsColdLimit(backend_sends &sends, const send_limits &limits, time_point now) const
 {
-    if (coldRequestsPerSecond <= 0.0) {
+    const double bearable = limits.coldRequestsPerSecond;
+    sends.usesCold = false;
+    if (bearable <= 0.0) {
         return true;
     }
-    const double limit = cold ? coldRequestsPerSecond : warmRateShare * (coldRequestsPerSecond * m_limits.coldRateFactor + m_limits.coldRateSlack);
-    const double equalShare = limit / std::max<std::uint32_t>(m_gateways, 1);
-    const double ownLimit = std::max(1.0, std::floor(otherGatewaysRate ? std::max(equalShare, (limit - *otherGatewaysRate) * sharedLimitShare) : equalShare));
-    sliding_window_counter &sends = m_sends.try_emplace(backend, sliding_window_counter(sendWindow)).first->second;
+    const double limit = limits.cold ? bearable : warmRateShare * (bearable * m_limits.coldRateFactor + m_limits.coldRateSlack);
+    const double equal = equalShare(limit);
+    const double share = limits.otherGatewaysRate ? std::max(equal, (limit - *limits.otherGatewaysRate) * sharedLimitShare) : equal;
+    sends.cold.refill(share, 1.0, now);
+    if (share < 1.0) {
+        sends.usesCold = true;
+        return sends.cold.hasToken();
+    }
+    const double ownLimit = std::floor(share);
     const double maxBurst = std::ceil(ownLimit * (std::chrono::duration<double>(burstWindow) / std::chrono::duration<double>(sendWindow))) + burstSlack;
-    if (static_cast<double>(sends.count(now)) + 1.0 > ownLimit || static_cast<double>(sends.countSince(now - burstWindow)) + 1.0 > maxBurst) {
-        return false;
+    return static_cast<double>(sends.recent.count(now)) + 1.0 <= ownLimit && static_cast<double>(sends.recent.countSince(now - burstWindow)) + 1.0 <= maxBurst;
+}
+
+bool fleet_limiter::keepsNamedLimit(backend_sends &sends, const send_limits &limits, time_point now) const
+{
+    sends.usesNamed = limits.namedShare.has_value();
+    const double share = limits.namedShare.value_or(0.0); // The time without a limit earns nothing.
+    sends.named.refill(share, std::max(1.0, share * namedBurstTime.count()), now);
+    return !sends.usesNamed || (share > 0.0 && sends.named.hasToken());
+}
+
+bool fleet_limiter::maySend(const backend_id &backend, const send_limits &limits, time_point now)
+{
+    backend_sends &sends = sendsTo(backend);
+    const bool keepsCold = keepsColdLimit(sends, limits, now);
+    return keepsNamedLimit(sends, limits, now) && keepsCold;
+}
+
+void fleet_limiter::recordSend(const backend_id &backend, time_point now)
+{
+    backend_sends &sends = sendsTo(backend);
+    sends.recent.count(now); // Drops what has left the window.
+    sends.recent.add(now);
+    if (sends.usesCold) {
+        sends.cold.take();
+    }
+    if (sends.usesNamed) {
+        sends.named.take();
     }
-    sends.add(now);
-    return true;
+}
+
+void fleet_limiter::forget(const backend_id &backend)
+{
+    m_sends.erase(backend);
 }
 
 } // namespace carawayloft
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -31,7 +31,7 @@
 gateway_pipe::gateway_pipe(const gateway_pipe_options &options)
     : m_options(options)
     , m_random(options.seed)
-    , m_limiter(options.limits)
+    , m_limiter(options.limits, options.seed)
 {
 }
 
@@ -167,7 +167,12 @@
     double groups = 0.0;
     for (const auto &[epoch, group] : m_view.groups()) {
         const group_monitor *monitor = group.model == model->model && group.phase == group_phase::Open ? monitorFor(epoch) : nullptr;
-        groups += monitor == nullptr || monitor->isSuspended(m_now) ? 0.0 : 1.0 / monitor->slowdown();
+        if (monitor == nullptr || monitor->isSuspended(m_now)) {
+            continue;
+        }
+        const backend_view::backend *head = m_view.find(group.head());
+        const double limit = head == nullptr ? 0.0 : namedLimitOf(head->record);
+        groups += std::min(1.0 / monitor->slowdown(), m_loadShedder.groupsForRate(*context.service->engine, *model, limit));
     }
     return !m_loadShedder.admit(*context.service->engine, *model, groups, context.isLate);
 }
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -63,7 +63,7 @@
         waitForBackend(context);
         return;
     }
-    if (context.sendCount > 0 && !m_limiter.takeRetry(context.service->service, m_now)) {
+    if (context.sendCount > 0 && !m_limiter.mayRetry(context.service->service, m_now)) {
         context.lastFailure += "; the retry budget is exhausted";
         giveUp(context);
         return;
@@ -106,7 +106,7 @@
         candidates.push_back(
             {head, epoch, forecast.timeToFirstEvent.count() + zoneCost + jitter, forecast.running, std::chrono::ceil<duration>(forecast.timeToFirstEvent)});
     }
-    return takeCheapest(context, std::move(candidates));
+    return chooseCheapest(context, std::move(candidates));
 }
 
 /** Chooses the server with the fewest running requests of this gateway, where failures and distance count as requests. */
@@ -124,21 +124,27 @@
         const double jitter = std::uniform_real_distribution<double>(0.0, 0.5)(m_random);
         candidates.push_back({&backend, {}, stats.running + failureCost * stats.failureRate + avoidedCost + triedCost + zoneCost + jitter, stats.running, {}});
     }
-    return takeCheapest(context, std::move(candidates));
+    return chooseCheapest(context, std::move(candidates));
 }
 
-/** Chooses the cheapest candidate whose rate limit allows one more send, and takes that send. */
-std::optional<gateway_pipe::candidate> gateway_pipe::takeCheapest(const request_context &context, std::vector<candidate> candidates)
+/** The limits on requests to the candidate, over all gateways. */
+send_limits gateway_pipe::sendLimitsOf(const request_context &context, const candidate &target)
+{
+    const backend_record &record = target.backend->record;
+    send_limits limits{context.service->coldRequestsPerSecond, m_now < target.backend->coldUntil, std::nullopt, namedShareOf(record)};
+    // Running requests of other gateways approximate their sends per second, except while the group is new.
+    if (const group_monitor *monitor = monitorFor(target.group); monitor != nullptr && !limits.cold && monitor->age(m_now) >= minReportedAge) {
+        limits.otherGatewaysRate = monitor->othersRunning();
+    }
+    return limits;
+}
+
+/** Chooses the cheapest candidate whose limits allow one more request. */
+std::optional<gateway_pipe::candidate> gateway_pipe::chooseCheapest(const request_context &context, std::vector<candidate> candidates)
 {
     std::sort(candidates.begin(), candidates.end(), [](const candidate &left, const candidate &right) { return left.cost < right.cost; });
     for (const candidate &target : candidates) {
-        const bool cold = m_now < target.backend->coldUntil;
-        std::optional<double> others;
-        // Running requests of other gateways approximate their sends per second, except while the group is new.
-        if (const group_monitor *monitor = monitorFor(target.group); monitor != nullptr && !cold && monitor->age(m_now) >= minReportedAge) {
-            others = monitor->othersRunning();
-        }
-        if (m_limiter.takeSend(target.backend->record.backend, context.service->coldRequestsPerSecond, cold, others, m_now)) {
+        if (m_limiter.maySend(target.backend->record.backend, sendLimitsOf(context, target), m_now)) {
             return target;
         }
     }
@@ -150,6 +156,10 @@
     m_lastCall = next(m_lastCall);
     context.call = m_lastCall;
     context.backend = target.backend->record.backend;
+    m_limiter.recordSend(context.backend, m_now);
+    if (context.sendCount > 0) {
+        m_limiter.recordRetry(context.service->service, m_now);
+    }
     context.group = target.group;
     context.forecast = target.forecast;
     context.sentAt = m_now;
@@ -262,8 +272,8 @@
         handleCallFailure(*context, true, "the answer belongs to another request");
         return;
     }
-    if (!in.wrongBackend && m_limitObservations.record(context->backend, in.requestLimit, m_now)) {
-        emit(backend_limit_observed{context->backend, in.requestLimit});
+    if (!in.wrongBackend) {
+        recordNamedLimit(context->backend, in.requestLimit);
     }
     if (in.wrongBackend || in.notExecuted) {
         handleNotExecuted(*context, in);
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -15,6 +15,9 @@
 /** Time for which a group with a failed member gets no requests; control removes the group from the view sooner. */
 static constexpr duration groupSuspensionTime{2'500};
 
+/** Validity of a share of a server's request limit: another gateway may get it once control does not hear from this one. */
+static constexpr duration requestShareTime{2'000};
+
 /** Time for which reports list a backend server as unreachable. */
 static constexpr duration unreachableReportTime{3'000};
 
@@ -150,9 +153,50 @@
     dropQuarantined();
 }
 
+/** The limit of the server on the requests of all gateways together, in requests per second; zero for none. */
+double gateway_pipe::namedLimitOf(const backend_record &record) const
+{
+    return m_limitObservations.limitOf(record.backend, record.requestLimit, m_now);
+}
+
+/** This gateway's share of the server's limit; nothing if it has none. */
+std::optional<double> gateway_pipe::namedShareOf(const backend_record &record) const
+{
+    const double limit = namedLimitOf(record);
+    if (limit <= 0.0) {
+        return std::nullopt;
+    }
+    if (record.requestLimit <= 0.0) {
+        return m_limiter.equalShare(limit); // Control has not divided it yet.
+    }
+    const auto granted = m_requestShares.find(record.backend);
+    return granted == m_requestShares.end() || m_now >= m_requestSharesUntil ? 0.0 : granted->second * std::min(1.0, limit / record.requestLimit);
+}
+
+void gateway_pipe::recordNamedLimit(const backend_id &backend, std::optional<double> limit)
+{
+    const backend_view::backend *known = m_view.find(backend);
+    if (known != nullptr && m_limitObservations.record(backend, limit, known->record.requestLimit, m_now)) {
+        emit(backend_limit_observed{backend, limit});
+    }
+}
+
+/** Drops what is kept of backend servers that are gone. */
+void gateway_pipe::forgetBackend(const backend_id &backend)
+{
+    m_limitObservations.forget(backend);
+    m_limiter.forget(backend);
+}
+
 void gateway_pipe::applyPublication(const publish_fleet &publication)
 {
     m_view.apply(publication, m_now);
+    for (const backend_record &each : publication.backends) {
+        m_limitObservations.limitPublished(each.backend, each.requestLimit, m_now);
+    }
+    for (const retired_backend &each : publication.retiredBackends) {
+        forgetBackend(each.backend);
+    }
     if (publication.snapshot) {
         m_crashWitness.reportAgain(); // It comes from a leader that has just taken over, or just heard of this gateway.
     }
@@ -175,6 +219,11 @@
     m_limiter.setGateways(grant.gateways, m_now);
     m_loadShedder.setDemand(grant.modelTraffic);
     m_crashWitness.setSuspects(grant.suspects);
+    m_requestShares.clear();
+    for (const request_share &each : grant.requestShares) {
+        m_requestShares.emplace(each.backend, each.requestsPerSecond);
+    }
+    m_requestSharesUntil = m_now + requestShareTime;
     m_otherGateways = grant.gateways > 0 ? grant.gateways - 1 : 0;
     for (auto &[epoch, monitor] : m_groupMonitors) {
         const auto others = std::find_if(grant.others.begin(), grant.others.end(), [&, id = epoch](const group_load &each) { return each.epoch == id; });
@@ -206,6 +255,7 @@
     report.modelTraffic = m_trafficMeter.averages(m_now);
     report.exposures = m_crashWitness.takeExposures(m_now);
     report.survivals = m_crashWitness.survivals(m_now);
+    report.requestLimits = m_limitObservations.report(m_now);
     m_reportedAt.emplace(m_lastRound, m_now);
     while (m_reportedAt.size() > maxPendingReports) {
         m_reportedAt.erase(m_reportedAt.begin());
--- a/src/gateway_pipe/load_shedder.cpp
+++ b/src/gateway_pipe/load_shedder.cpp
@@ -33,6 +33,15 @@
     return {std::min(1.0, admittedLoad * peak / fresh), std::clamp((admittedLoadWithReturning * peak - fresh) / returning, 0.0, 1.0)};
 }
 
+double load_shedder::groupsForRate(const engine_profile &engine, const model_profile &model, double requestsPerSecond) const
+{
+    const auto found = m_demand.find(model.model);
+    if (requestsPerSecond <= 0.0 || found == m_demand.end()) {
+        return 1.0;
+    }
+    return std::min(1.0, requestsPerSecond / group_goodput(engine, model, found->second).peakRate());
+}
+
 bool load_shedder::admit(const engine_profile &engine, const model_profile &model, double groups, bool isReturning)
 {
     const admission_shares shares = sharesFor(engine, model, groups);
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -100,6 +100,7 @@
               {"loaded", out.record.loaded},
               {"staged", out.record.staged.empty() ? std::string() : out.record.staged.back().value()},
               {"cold_ms", out.record.coldLeft.count()},
+              {"request_limit", std::to_string(out.record.requestLimit)},
               {"reason", out.reason}});
 }
 
--- a/tests/fleet/backend_registry_test.cpp
+++ b/tests/fleet/backend_registry_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace carawayloft;
 
 static const time_point start(std::chrono::hours(1));
@@ -111,3 +113,36 @@
     registry.step(backend_record_expired{backend_id("a")}, start);
     EXPECT_EQ(registry.find(backend_id("a")), nullptr);
 }
+
+TEST(BackendRegistry, KeepsTheLimitOfTheLatestAnswerUntilTheServerRestarts)
+{
+    const backend_id id("a");
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    EXPECT_EQ(registry.step(request_limit_named{id, 6.0, start}, start).size(), 1U);
+    registry.step(makeCheckIn("a", 1, 2), start);
+    EXPECT_EQ(registry.find(id)->record.requestLimit, 6.0);
+    EXPECT_TRUE(registry.step(request_limit_named{id, 0.0, start - duration(50)}, start).empty());
+    EXPECT_TRUE(registry.step(request_limit_named{id, 6.1, start + duration(10)}, start).empty());
+    EXPECT_EQ(registry.step(request_limit_named{id, 0.0, start + duration(20)}, start).size(), 1U);
+    registry.step(request_limit_named{id, 6.0, start + duration(30)}, start);
+    registry.step(makeCheckIn("a", 2, 1), start);
+    EXPECT_EQ(registry.find(id)->record.requestLimit, 0.0);
+}
+
+TEST(BackendRegistry, TellsACrashFromALeave)
+{
+    const auto crashed = [](const std::vector<backend_record_changed> &changes) {
+        return std::any_of(changes.begin(), changes.end(), [](const auto &each) { return each.crashed; });
+    };
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    EXPECT_TRUE(crashed(registry.step(makeCheckIn("b", 2, 1), start))); // At the address of a.
+    EXPECT_TRUE(crashed(registry.step(makeCheckIn("b", 3, 1), start))); // Under the same id.
+    EXPECT_FALSE(crashed(registry.step(backend_failure{backend_id("b"), false}, start)));
+    EXPECT_TRUE(crashed(registry.step(backend_failure{backend_id("b"), true}, start)));
+    EXPECT_FALSE(crashed(registry.step(backend_failure{backend_id("b"), true}, start)));
+    registry.step(draining(makeCheckIn("c", 1, 1, "127.0.0.1:9001")), start);
+    EXPECT_FALSE(crashed(registry.step(makeCheckIn("d", 2, 1, "127.0.0.1:9001"), start)));
+    EXPECT_FALSE(crashed(registry.step(backend_departure{backend_id("d")}, start)));
+}
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -695,3 +695,50 @@
     ASSERT_EQ(outputsOf<reject_request>().size(), 1U);
     EXPECT_EQ(outputsOf<reject_request>().front().outcome, run_outcome::DidNotRun);
 }
+
+TEST_F(GatewayPipe, KeepsToTheLimitThatAServerNamesInARefusalAndReportsIt)
+{
+    const call_backend first = startCall(1, "/records/x");
+    backend_answer_started refusal{first.call, 503, true, false, false, false};
+    refusal.requestLimit = 0.5;
+    step(refusal);
+    EXPECT_EQ(outputsOf<backend_limit_observed>().size(), 1U);
+    int sent = 0;
+    for (std::uint64_t i = 2; i < 60; ++i) {
+        runFor(duration(60));
+        step(makeRequest(i, "/records/x"));
+        for (const call_backend &each : outputsOf<call_backend>()) {
+            sent += each.backend == first.backend ? 1 : 0;
+        }
+    }
+    EXPECT_LE(sent, 4);
+    ASSERT_EQ(lastReport.requestLimits.size(), 1U);
+    EXPECT_EQ(lastReport.requestLimits.front().backend, first.backend);
+    EXPECT_EQ(lastReport.requestLimits.front().requestsPerSecond, 0.5);
+}
+
+TEST_F(GatewayPipe, KeepsToItsShareOfALimitThatAnotherGatewayWasTold)
+{
+    backend_record limited = makeBackend("p1", plainService);
+    limited.requestLimit = 2.0;
+    publish_fleet change;
+    change.backends = {limited};
+    receive(change);
+    const auto sentWhileAsking = [&](std::uint64_t firstRequest, std::vector<request_share> shares) {
+        int sent = 0;
+        for (std::uint64_t i = firstRequest; i < firstRequest + 50; ++i) {
+            runFor(duration(100));
+            receive(gateway_grant{lastReport.round, revision(), duration(3'000), 2, {}, {}, {}, {}, shares});
+            const call_backend call = startCall(i, "/records/x");
+            const bool isLimited = call.backend == limited.backend;
+            sent += isLimited ? 1 : 0;
+            step(backend_answer_started{call.call, 200, false, false, false, false, isLimited ? std::optional(limited.requestLimit) : std::nullopt});
+            step(backend_answer_finished{call.call});
+        }
+        return sent;
+    };
+    EXPECT_EQ(sentWhileAsking(1, {}), 0); // Other gateways have the shares.
+    const int sent = sentWhileAsking(100, {{limited.backend, 1.0}});
+    EXPECT_LE(sent, 7);
+    EXPECT_GE(sent, 4);
+}
