--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 using namespace carawayloft;
 
 static const front_end &frontEnd()
@@ -275,3 +277,68 @@
         EXPECT_EQ(requestLimitOf(header), std::nullopt) << header;
     }
 }
+
+static nlohmann::json makeNumberedCheckIn()
+{
+    return nlohmann::json::parse(R"({"service":"s1","address":"10.0.0.1:8080","zone":"a","version":"v1","slots":48,"state":"ready","coldLeftMs":0,
+        "sequence":4,"born":1700000000000,"group":{"name":"g7","epoch":7,"rank":1,"state":"ready"}})");
+}
+
+static bool isAccepted(const nlohmann::json &checkIn)
+{
+    return decodesTo<backend_check_in>(makeRequest("PUT", "/-/instances/i-1", checkIn.dump()));
+}
+
+TEST(FrontEnd, ACheckInWithANumberOutOfRangeIsRefusedWhole)
+{
+    ASSERT_TRUE(isAccepted(makeNumberedCheckIn()));
+    const std::uint64_t tooLarge = std::numeric_limits<std::uint64_t>::max();
+    for (const char *name : {"sequence", "born"}) {
+        nlohmann::json odd = makeNumberedCheckIn();
+        odd[name] = tooLarge;
+        EXPECT_FALSE(isAccepted(odd)) << name;
+        odd[name] = -1;
+        EXPECT_FALSE(isAccepted(odd)) << name;
+    }
+    for (const double cold : {1e300, -1e300, -1.0}) {
+        nlohmann::json odd = makeNumberedCheckIn();
+        odd["coldLeftMs"] = cold;
+        EXPECT_FALSE(isAccepted(odd)) << cold;
+    }
+    for (const char *name : {"epoch", "rank"}) {
+        nlohmann::json odd = makeNumberedCheckIn();
+        odd["group"][name] = tooLarge;
+        EXPECT_FALSE(isAccepted(odd)) << name;
+    }
+    nlohmann::json wrapped = makeNumberedCheckIn();
+    wrapped["group"]["rank"] = std::uint64_t{1} << 33U; // As 32 bits it would be rank 0, the head.
+    EXPECT_FALSE(isAccepted(wrapped));
+    for (const char *address : {"10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:99999999999999999999"}) {
+        nlohmann::json odd = makeNumberedCheckIn();
+        odd["address"] = address;
+        EXPECT_FALSE(isAccepted(odd)) << address;
+    }
+}
+
+TEST(FrontEnd, ADeeplyNestedCheckInDoesNotEndTheProcess)
+{
+    static constexpr std::size_t depth = 200'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::string whole = makeNumberedCheckIn().dump();
+    for (const char *field : {"\"odd\":", "\"models\":", "\"group\":", "\"staged\":"}) {
+        const auto decoded = frontEnd().decodeControlRequest(makeRequest("PUT", "/-/instances/i-1", "{" + std::string(field) + nested + "," + whole.substr(1)));
+        EXPECT_TRUE(failed(decoded) || valueOf(decoded));
+    }
+}
+
+TEST(FrontEnd, AConfigurationWithANumberOutOfRangeIsRefused)
+{
+    for (const char *name : {"timeoutMs", "sloMs"}) {
+        nlohmann::json odd = makeConfiguration();
+        odd["routes"][0][name] = 1e300;
+        EXPECT_TRUE(failed(frontEnd().readConfiguration(odd.dump()))) << name;
+    }
+    nlohmann::json odd = makeConfiguration();
+    odd["routes"][0]["backends"][0]["weight"] = std::uint64_t{1} << 32U; // As 32 bits it would be 0.
+    EXPECT_TRUE(failed(frontEnd().readConfiguration(odd.dump())));
+}
