Do not take an earlier refusal for the answer to a later request

Report of another operator: a server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that were running.

Here a request that may not run twice always has a fresh connection, so it cannot read such bytes. Two cases were left for requests that may be repeated, each of which ended in one more run than the route allows: a refusal without a request id was believed on a reused connection, and one with the id of the same request, sent to the same server a second time. The test of the gateway failed before; that of the front end needs a field that is new.

--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -82,7 +82,7 @@
     client_account_id account; /**< Empty if the route needs no key. */
     duration timeLeft{0};
     std::optional<stream_event_id> resumeAfter;
-    bool freshConnection = false; /**< A pooled connection may be dead, and then it is unknown whether the request ran. */
+    bool freshConnection = false; /**< A pooled connection may be dead, or hold an earlier refusal; either way it is unknown whether the request runs. */
 };
 
 struct cancel_call {
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -231,7 +231,9 @@
         const char *contentType = nullptr;
         curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(one.easy, CURLINFO_CONTENT_TYPE, &contentType);
-        one.handle(http_started{static_cast<std::uint32_t>(status), contentType == nullptr ? "" : contentType, std::move(one.received)});
+        long newConnections = 0;
+        curl_easy_getinfo(one.easy, CURLINFO_NUM_CONNECTS, &newConnections);
+        one.handle(http_started{static_cast<std::uint32_t>(status), contentType == nullptr ? "" : contentType, std::move(one.received), newConnections == 0});
     }
 
     static std::size_t onBytes(const char *bytes, std::size_t size, std::size_t count, void *user)
--- a/src/ends/http_client.h
+++ b/src/ends/http_client.h
@@ -26,6 +26,7 @@
     std::uint32_t status = 0;
     std::string contentType;
     http_headers headers;
+    bool reusedConnection = false; /**< An earlier call used the connection, so the answer may be a late one to that call. */
 };
 
 struct http_received {
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -195,7 +195,7 @@
                       context.account,
                       timeLeft,
                       context.splice.lastEvent(),
-                      !context.route->allowsRetry()});
+                      !context.route->allowsRetry() || context.triedBackends.contains(context.backend)});
 }
 
 gateway_pipe::request_context *gateway_pipe::findByCall(backend_call_id call)
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -742,3 +742,32 @@
     EXPECT_LE(sent, 7);
     EXPECT_GE(sent, 4);
 }
+
+TEST_F(GatewayPipe, ARequestThatAServerRefusedIsNotSentThereAgainOnAConnectionThatMayRepeatTheRefusal)
+{
+    backend_record draining = makeBackend("p2", plainService);
+    draining.state = backend_state::Draining;
+    publish_fleet change;
+    change.backends = {draining};
+    receive(change);
+    const call_backend first = startCall(1, "/records/x");
+    EXPECT_FALSE(first.freshConnection);
+    answer(first, 503, false, true);
+    ASSERT_EQ(outputsOf<call_backend>().size(), 1U);
+    EXPECT_EQ(outputsOf<call_backend>().front().backend, first.backend);
+    EXPECT_TRUE(outputsOf<call_backend>().front().freshConnection);
+}
+
+TEST_F(GatewayPipe, AnErrorOfTheNextServerDoesNotGetIntoAStreamThatHasBegun)
+{
+    const call_backend first = startCall(1, "/draft/x");
+    answer(first, 200, true);
+    step(backend_bytes_received{first.call, event(1)});
+    step(backend_call_failed{first.call, false, "reset"});
+    const call_backend second = outputsOf<call_backend>().front();
+    step(backend_answer_started{second.call, 500, false, false, false, false});
+    EXPECT_EQ(outputsOf<abort_answer>().size(), 1U);
+    step(backend_bytes_received{second.call, "{\"error\":\"out of memory\"}"});
+    step(backend_answer_finished{second.call});
+    EXPECT_TRUE(outputs.empty());
+}
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -342,3 +342,14 @@
     odd["routes"][0]["backends"][0]["weight"] = std::uint64_t{1} << 32U; // As 32 bits it would be 0.
     EXPECT_TRUE(failed(frontEnd().readConfiguration(odd.dump())));
 }
+
+TEST(FrontEnd, ARefusalWithoutARequestIdOnAReusedConnectionMayBeAnEarlierOne)
+{
+    http_started refusal;
+    refusal.status = 503;
+    refusal.headers = {{platform::wire::notExecuted, "1"}};
+    const http_request request = makeRequest("POST", "/x");
+    EXPECT_FALSE(frontEnd().decodeBackendAnswer(refusal, request, backend_call_id(1)).requestIdMismatch);
+    refusal.reusedConnection = true;
+    EXPECT_TRUE(frontEnd().decodeBackendAnswer(refusal, request, backend_call_id(1)).requestIdMismatch);
+}
