Do not continue a stream with the error of the next group

Report of another operator: a stream had begun and broke off, the next server answered with an error, and callers found its text in their stream.

Entries were not: the head of a later attempt was dropped, and its body appended. RequestPipe.AnErrorOfTheNextGroupDoesNotGetIntoAStreamThat- HasBegun failed before. A head of another status or type now breaks the attempt, and no chunk is passed on before the head of its own attempt.

--- a/include/carawayloft/request/stream_assembler.h
+++ b/include/carawayloft/request/stream_assembler.h
@@ -74,7 +74,8 @@
 
     attempt_number m_attempt;
     stream_offset m_position;
-    bool m_headSent = false;
+    std::optional<head_ready> m_sentHead;
+    bool m_headReceived = false; /**< Of the current attempt. */
     bool m_frameReceived = false;
     bool m_complete = false;
     std::map<stream_offset, std::string> m_heldChunks;
--- a/src/request_pipe/request_pipe.cpp
+++ b/src/request_pipe/request_pipe.cpp
@@ -208,7 +208,9 @@
 void request_pipe::reject(request_context &context, reject_request answer)
 {
     const request_id request = context.request.request;
-    if (!context.callerDisconnected) {
+    if (context.answerStarted && !context.callerDisconnected) {
+        emit(abort_answer{request}); // The caller has the head of another answer.
+    } else if (!context.callerDisconnected) {
         emit(std::move(answer));
     }
     erase(request);
--- a/src/request_pipe/request_pipe_attempts.cpp
+++ b/src/request_pipe/request_pipe_attempts.cpp
@@ -80,12 +80,7 @@
     const bool mayRepeat = context.idempotent || context.claimGranted;
     if (!mayRepeat || m_now >= context.deadline || !m_retryBudget.tryTake()) {
         closeClaim(context, claim_outcome::DidNotRun, false);
-        if (context.answerStarted) {
-            emit(abort_answer{context.request.request});
-            erase(context.request.request);
-        } else {
-            reject(context, rejection);
-        }
+        reject(context, rejection);
         return;
     }
     emit(request_retried{context.request.request, context.attempt, reason});
--- a/src/request_pipe/stream_assembler.cpp
+++ b/src/request_pipe/stream_assembler.cpp
@@ -13,6 +13,7 @@
 {
     m_attempt = in.attempt;
     m_frameReceived = false;
+    m_headReceived = false;
     m_heldChunks.clear();
     m_length.reset();
 }
@@ -23,9 +24,15 @@
         return;
     }
     m_frameReceived = true;
-    if (!m_headSent) {
-        m_headSent = true;
-        out.emplace_back(head_ready{in.status, in.contentType});
+    // An answer that the caller has part of is not continued with another kind of answer, such as an error.
+    if (m_sentHead && (m_sentHead->status != in.status || m_sentHead->contentType != in.contentType)) {
+        out.emplace_back(attempt_broken{m_position, false});
+        return;
+    }
+    m_headReceived = true;
+    if (!m_sentHead) {
+        m_sentHead = head_ready{in.status, in.contentType};
+        out.emplace_back(*m_sentHead);
     }
     releaseInOrder(out);
     finishIfComplete(out);
@@ -64,7 +71,7 @@
 
 void stream_assembler::releaseInOrder(std::vector<output> &out)
 {
-    if (!m_headSent) {
+    if (!m_headReceived) {
         return;
     }
     while (!m_heldChunks.empty() && m_heldChunks.begin()->first == m_position) {
@@ -76,7 +83,7 @@
 
 void stream_assembler::finishIfComplete(std::vector<output> &out)
 {
-    if (!m_complete && m_headSent && m_length && *m_length == m_position) {
+    if (!m_complete && m_headReceived && m_length && *m_length == m_position) {
         m_complete = true;
         out.emplace_back(answer_complete{});
     }
--- a/tests/request/request_pipe_test.cpp
+++ b/tests/request/request_pipe_test.cpp
@@ -209,6 +209,28 @@
     EXPECT_EQ(driver.find<continue_answer>(), nullptr);
 }
 
+TEST(RequestPipe, AnErrorOfTheNextGroupDoesNotGetIntoAStreamThatHasBegun)
+{
+    pipe_driver driver;
+    driver.step(driver.makeRequest(1, model));
+    endpoint agent;
+    const attempt_number attempt = driver.dispatched(&agent)->attempt;
+    driver.step(agent_message{agent, answer_head{request_id(1), attempt, 200, "text/event-stream", {}}});
+    driver.step(agent_message{agent, answer_chunk{request_id(1), attempt, stream_offset(0), "a"}});
+    driver.step(agent_disconnected{agent});
+    endpoint next;
+    const attempt_number second = driver.dispatched(&next)->attempt;
+    driver.step(agent_message{next, answer_head{request_id(1), second, 500, "application/json", {}}});
+    EXPECT_EQ(driver.find<continue_answer>(), nullptr);
+    EXPECT_EQ(driver.find<finish_answer>(), nullptr);
+    const bool wentOn = driver.find<abort_answer>() != nullptr || driver.dispatched() != nullptr;
+    EXPECT_TRUE(wentOn);
+    driver.step(agent_message{next, answer_chunk{request_id(1), second, stream_offset(1), "{\"error\":\"out of memory\"}"}});
+    EXPECT_EQ(driver.find<continue_answer>(), nullptr);
+    driver.step(agent_message{next, answer_end{request_id(1), second, stream_offset(2), answer_ending::Complete}});
+    EXPECT_EQ(driver.find<finish_answer>(), nullptr);
+}
+
 TEST(RequestPipe, ExcludesQueueingTimeFromTheLatencyOfAGroup)
 {
     pipe_driver driver;
