Take a stream that ends before its first event for broken off

A streamed answer may come without a length and end with its connection, so a server that crashes after the head of an answer looks like one that has nothing to say: callers got an empty stream as if it were complete. The request now goes to another server, or ends as broken off. A resumed answer may be empty, since the earlier server may have sent everything. GatewayPipe.AStreamWithoutAnyEventIsIncomplete failed before.

--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -370,6 +370,11 @@
         handleCallFailure(*context, true, "the stream ended inside an event");
         return;
     }
+    // The server may have ended before the first event; an answer that goes on after the last one has none.
+    if (context->isStreaming && !context->answerBegunAt && !context->splice.lastEvent()) {
+        handleCallFailure(*context, true, "the stream ended before its first event");
+        return;
+    }
     recordOutcome(*context, context->status >= http_status::internalServerError);
     recordAnswerProgress(*context, true);
     const request_id request = context->request.request;
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -771,3 +771,12 @@
     step(backend_answer_finished{second.call});
     EXPECT_TRUE(outputs.empty());
 }
+
+TEST_F(GatewayPipe, AStreamWithoutAnyEventIsIncomplete)
+{
+    const call_backend first = startCall(1, "/draft/x");
+    answer(first, 200, true);
+    step(backend_answer_finished{first.call});
+    EXPECT_TRUE(outputsOf<finish_answer>().empty());
+    EXPECT_EQ(outputsOf<call_backend>().size(), 1U);
+}
