--- a/tests/fleet/allocation_property_test.cpp
+++ b/tests/fleet/allocation_property_test.cpp
@@ -153,3 +153,10 @@
         RC_ASSERT(fleet.worstShareAfterALoss(groups) >= leastShare);
     }));
 }
+
+TEST(ModelAllocation, EveryModelBearsTheLossOfAGroupWhereOneServerIsAGroupOfTheOther)
+{
+    measured_fleet fleet = makeFleet(8, 1, 2, 17, 18.0, 82.0);
+    ASSERT_GE(fleet.bestShareAfterALoss(), enoughShare);
+    EXPECT_GE(fleet.worstShareAfterALoss(fleet.allocated()), leastShare);
+}
