--- /dev/null
+++ b/src/fleet_pipe/fleet_pipe_gateways.cpp
@@ -0,0 +1,133 @@
+#include <carawayloft/fleet/fleet_pipe.h>
+
+#include <algorithm>
+
+// What gateways report, and what they are granted.
+
+namespace carawayloft {
+
+/** Serving lease of a gateway, counted from its report. Well below the time within which a revoked key must stop working. */
+static constexpr duration gatewayLease{3'000};
+
+/** A gateway that disconnected within this time still counts, since it may have used its part of the shared limits. */
+static constexpr duration sharedLimitWindow{10'000};
+
+/** Time from the first known traffic until the gateways' averages represent the full demand. */
+static constexpr std::chrono::duration<double> trafficAveragingTime{9.0};
+
+void fleet_pipe::handle(const gateway_lost &in)
+{
+    if (m_gateways.erase(in.gateway) > 0) {
+        m_gatewaysLost.push_back(m_now);
+    }
+}
+
+std::uint32_t fleet_pipe::countRecentGateways()
+{
+    while (!m_gatewaysLost.empty() && m_now >= m_gatewaysLost.front() + sharedLimitWindow) {
+        m_gatewaysLost.pop_front();
+    }
+    return static_cast<std::uint32_t>(m_gateways.size() + m_gatewaysLost.size());
+}
+
+void fleet_pipe::handle(const gateway_reported &in)
+{
+    if (!m_leads) {
+        return;
+    }
+    const auto [found, isNew] = m_gateways.try_emplace(in.gateway);
+    found->second.heardAt = m_now;
+    found->second.loads = in.report.loads;
+    found->second.modelTraffic = in.report.modelTraffic;
+    found->second.unreachable = {in.report.unreachable.begin(), in.report.unreachable.end()};
+    const bool serves = std::any_of(in.report.loads.begin(), in.report.loads.end(), [](const group_load &each) { return each.running > 0; });
+    if (serves && !m_trafficStarted) {
+        m_trafficStarted = true;
+        m_trafficStartedAt = m_now;
+    }
+    if (isNew) {
+        m_out.emplace_back(publish_to_gateway{in.gateway, snapshot(m_now)});
+    }
+    correlateCrashes(in.report);
+    for (const request_limit_report &each : in.report.requestLimits) {
+        stepRegistry(request_limit_named{each.backend, each.requestsPerSecond, m_now - std::max(each.age, duration(0))}, "request limit named");
+    }
+    gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}, m_correlator.suspects(), sharesOf(in.gateway)};
+    std::map<group_epoch, group_load> others;
+    for (const auto &[link, each] : m_gateways) {
+        if (link == in.gateway) {
+            continue;
+        }
+        for (const group_load &load : each.loads) {
+            group_load &sum = others[load.epoch];
+            sum.epoch = load.epoch;
+            sum.running += load.running;
+            sum.prefillTokens += load.prefillTokens;
+            sum.progressing = sum.progressing || load.progressing;
+            sum.tokensPerSecond += load.tokensPerSecond;
+        }
+    }
+    for (const auto &[epoch, load] : others) {
+        grant.others.push_back(load);
+    }
+    for (const auto &[model, demand] : totalTraffic()) {
+        grant.modelTraffic.push_back(demand);
+    }
+    m_out.emplace_back(grant_to_gateway{in.gateway, std::move(grant)});
+    for (const backend_id &each : in.report.unreachable) {
+        handleUnreachableReport(each);
+    }
+}
+
+std::vector<request_share> fleet_pipe::sharesOf(link_id gateway)
+{
+    std::set<link_id> gateways;
+    for (const auto &[link, each] : m_gateways) {
+        gateways.insert(link);
+    }
+    m_requestShares.update(m_registry, gateways, m_now);
+    return m_requestShares.sharesOf(gateway);
+}
+
+/** Whether the server has ended unannounced, as far as the registry still knows. */
+bool fleet_pipe::isKnownToHaveCrashed(const backend_id &backend) const
+{
+    const backend_registry::entry *entry = m_registry.find(backend);
+    return entry != nullptr && entry->confirmedDown && entry->record.state == backend_state::Lost;
+}
+
+void fleet_pipe::correlateCrashes(const gateway_report &report)
+{
+    if (report.exposures.empty() && report.survivals.empty()) {
+        return;
+    }
+    for (const crash_exposure &each : report.exposures) {
+        if (isKnownToHaveCrashed(each.backend)) {
+            stepCorrelator(backend_crashed{each.backend});
+        }
+    }
+    stepCorrelator(crash_evidence{report.exposures, report.survivals});
+}
+
+/** Fraction of the averaging time that the reports of gateways cover. */
+double fleet_pipe::trafficConfidence() const
+{
+    if (!m_trafficStarted || m_gateways.empty()) {
+        return 0.0;
+    }
+    return std::min(1.0, std::chrono::duration<double>(m_now - m_trafficStartedAt) / trafficAveragingTime);
+}
+
+/** Demand at all gateways: summed request rates, and averages weighted by them. */
+fleet_traffic fleet_pipe::totalTraffic() const
+{
+    fleet_traffic sums;
+    for (const auto &[link, each] : m_gateways) {
+        for (const model_traffic &part : each.modelTraffic) {
+            addTraffic(sums, part);
+        }
+    }
+    return sums;
+}
+
+} // namespace carawayloft
