--- a/src/fleet_pipe/request_shares.cpp
+++ b/src/fleet_pipe/request_shares.cpp
@@ -45,6 +45,7 @@
     for (const auto &[backend, limit] : m_limits) {
         const std::size_t sharing = std::clamp<std::size_t>(static_cast<std::size_t>(limit), 1, gateways.size());
         std::vector<std::pair<std::uint64_t, link_id>> ranked;
+        ranked.reserve(gateways.size());
         for (const link_id &each : gateways) {
             ranked.emplace_back(rankOf(backend, each, rotation), each);
         }
