Do not take a head that ends in the middle for a whole answer

What callers saw: a server that stopped inside the head of its answer and closed gave them status 200 with an empty body, framed as whole. Cause: libcurl ends such a transfer without an error, and http_client reported a start and a finish for it. Change: the client notes the empty line behind the final head; without it the call fails as closed by the server, so it is repeated where it may be and else answered with 502. Gateways, agents and control use one client.

--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -1,5 +1,7 @@
 #include "ends/http_client.h"
 
+#include <carawayloft/core/http_status.h>
+
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -28,6 +30,7 @@
     std::size_t bodyBytes = 0;
     std::size_t maxBodyBytes = 0;
     const char *failure = nullptr; /**< Why this end broke the call off. */
+    bool headComplete = false; /**< The empty line behind the head of the answer itself, not of an informational one, has come. */
     bool started = false;
     bool paused = false;
 
@@ -210,6 +213,10 @@
             one.received.clear();
             return size * count;
         }
+        if (line == "\r\n" || line == "\n") {
+            one.headComplete = statusOf(one) >= http_status::ok;
+            return size * count;
+        }
         while (!line.empty() && (line.back() == '\r' || line.back() == '\n' || line.back() == ' ')) {
             line.remove_suffix(1);
         }
@@ -221,19 +228,24 @@
         return size * count;
     }
 
+    static std::uint32_t statusOf(const transfer &one)
+    {
+        long status = 0;
+        curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
+        return static_cast<std::uint32_t>(status);
+    }
+
     static void reportStart(transfer &one)
     {
         if (one.started) {
             return;
         }
         one.started = true;
-        long status = 0;
         const char *contentType = nullptr;
-        curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(one.easy, CURLINFO_CONTENT_TYPE, &contentType);
         long newConnections = 0;
         curl_easy_getinfo(one.easy, CURLINFO_NUM_CONNECTS, &newConnections);
-        one.handle(http_started{static_cast<std::uint32_t>(status), contentType == nullptr ? "" : contentType, std::move(one.received), newConnections == 0});
+        one.handle(http_started{statusOf(one), contentType == nullptr ? "" : contentType, std::move(one.received), newConnections == 0});
     }
 
     static std::size_t onBytes(const char *bytes, std::size_t size, std::size_t count, void *user)
@@ -349,7 +361,9 @@
         }
         const std::shared_ptr<transfer> one = found->second;
         m_transfers.erase(found);
-        if (code == CURLE_OK) {
+        // libcurl takes a head that ends with its connection for a whole one without a body.
+        const bool headCut = code == CURLE_OK && !one->headComplete;
+        if (code == CURLE_OK && !headCut) {
             reportStart(*one);
             one->handle(http_finished{});
             return;
@@ -358,7 +372,10 @@
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
         const bool neverSent = sentBytes == 0 && !one->started;
         const char *failure = one->failure == nullptr ? curl_easy_strerror(code) : one->failure;
-        const bool closedByServer = !neverSent && one->failure == nullptr && isClosedByServer(easy, code);
+        if (headCut) {
+            failure = "the connection ended inside the head of the answer";
+        }
+        const bool closedByServer = headCut || (!neverSent && one->failure == nullptr && isClosedByServer(easy, code));
         one->handle(http_failed{{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent, closedByServer});
     }
 
--- a/tests/ends/http_client_test.cpp
+++ b/tests/ends/http_client_test.cpp
@@ -41,6 +41,12 @@
         m_closesNext = true;
     }
 
+    /** Closes each connection behind the answer. */
+    void closeAfterAnswers()
+    {
+        m_closesAfterAnswers = true;
+    }
+
 private:
     struct connection {
         explicit connection(asio::ip::tcp::socket accepted)
@@ -79,6 +85,9 @@
         }
         std::error_code failure;
         asio::write(one->socket, asio::buffer(m_answer), failure);
+        if (m_closesAfterAnswers) {
+            return;
+        }
         if (m_repeated.empty()) {
             serve(one);
         } else {
@@ -101,12 +110,15 @@
     std::string m_answer;
     std::string m_repeated;
     bool m_closesNext = false;
+    bool m_closesAfterAnswers = false;
     bool m_isClosed = false;
 };
 
 struct call_result {
+    bool started = false;
     bool finished = false;
     bool failed = false;
+    bool neverSent = false;
     std::string why;
     std::size_t bodyBytes = 0;
 };
@@ -117,10 +129,13 @@
     void startCall(const http_call &call, call_result &result)
     {
         client->start(call, [&result](const http_event &event) {
-            if (const auto *received = std::get_if<http_received>(&event)) {
+            if (std::holds_alternative<http_started>(event)) {
+                result.started = true;
+            } else if (const auto *received = std::get_if<http_received>(&event)) {
                 result.bodyBytes += received->bytes.size();
             } else if (const auto *failure = std::get_if<http_failed>(&event)) {
                 result.failed = true;
+                result.neverSent = failure->neverSent;
                 result.why = failure->why.what;
             } else if (std::holds_alternative<http_finished>(event)) {
                 result.finished = true;
@@ -229,3 +244,34 @@
     runUntil([&] { return second.finished || second.failed; });
     EXPECT_TRUE(second.finished) << second.why;
 }
+
+TEST_F(HttpClient, AHeadThatEndsInTheMiddleIsNoAnswer)
+{
+    const std::string whole = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Request: 1\r\nContent-Type: text/event-stream\r\n\r\n";
+    for (std::size_t length = 1; length < whole.size(); ++length) {
+        endless_server server(context, whole.substr(0, length), {});
+        server.closeAfterAnswers();
+        http_call call;
+        call.url = server.url();
+        call.timeout = std::chrono::duration_cast<duration>(patience);
+        call_result result;
+        startCall(call, result);
+        runUntil([&] { return result.finished || result.failed; });
+        EXPECT_FALSE(result.started) << length << " bytes of the head came";
+        EXPECT_TRUE(result.failed);
+        EXPECT_FALSE(result.neverSent);
+    }
+}
+
+TEST_F(HttpClient, AnAnswerWithoutLengthEndsWithItsConnection)
+{
+    endless_server server(context, "HTTP/1.1 200 OK\r\n\r\n", {});
+    server.closeAfterAnswers();
+    http_call call;
+    call.url = server.url();
+    call_result result;
+    startCall(call, result);
+    runUntil([&] { return result.finished || result.failed; });
+    EXPECT_TRUE(result.started);
+    EXPECT_TRUE(result.finished);
+}
