Wait for a full disk instead of ending the replica

Cause: every failed write ended the process, though an append that is taken back leaves the file as it was. Meanwhile the pipe is not stepped, nothing is acknowledged, granted or ordered, operators and servers get 503, and only mirrored records and lost links are taken in. Other disk failures end the process as before.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -137,6 +137,10 @@
         return {"group_placed", severity::Info};
     case event_number::GroupDissolved:
         return {"group_dissolved", severity::Info};
+    case event_number::DiskFull:
+        return {"disk_full", severity::Error};
+    case event_number::DiskWritable:
+        return {"disk_writable", severity::Info};
     case event_number::MemberReplaced:
         return {"member_replaced", severity::Info};
     case event_number::PlacementStranded:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -72,6 +72,8 @@
     DiskSpaceLow = 410,
     GroupPlaced = 500,
     GroupDissolved = 501,
+    DiskFull = 411,
+    DiskWritable = 412,
     MemberReplaced = 502,
     PlacementStranded = 503,
     PlanProposed = 510,
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -40,6 +40,7 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN); // A write past a limit on file sizes fails like one on a full disk.
     try {
         TCLAP::CmdLine line(
             "The carawayloft daemon: an entry for callers, the agent of a backend server or a control replica, depending on its settings.", ' ', "0.1.0");
--- a/src/ends/data_folder.cpp
+++ b/src/ends/data_folder.cpp
@@ -14,16 +14,25 @@
 static constexpr const char *temporarySuffix = ".new";
 static constexpr int fileMode = 0644;
 
+static bool isFull(int code)
+{
+    return code == ENOSPC || code == EDQUOT || code == EFBIG;
+}
+
 static error failure(const std::string &what)
 {
     const int code = errno;
-    if (code == ENOSPC || code == EDQUOT) {
-        return {error_kind::DiskFull, what + ": " + std::strerror(code), "free space on the disk, then start the process again"};
-    }
     return {error_kind::DiskFailed, what + ": " + std::strerror(code), "check the disk; if it is lost, start the process with an empty data folder"};
 }
 
-/** Writes all of @p data; a short write is carried on, an error is reported and never retried. */
+/** The failure of an operation that has left its file as it was. */
+static error harmlessFailure(const std::string &what)
+{
+    const int code = errno;
+    return isFull(code) ? error{error_kind::DiskFull, what + ": " + std::strerror(code), "free space on the disk"} : failure(what);
+}
+
+/** Writes all of @p data; a short write is carried on, an error is reported. */
 static bool writeAll(int file, const bytes &data)
 {
     std::size_t written = 0;
@@ -47,9 +56,7 @@
 
 data_folder::~data_folder()
 {
-    if (m_openFile >= 0) {
-        close(m_openFile);
-    }
+    closeAppendHandle();
     if (m_lock >= 0) {
         close(m_lock);
     }
@@ -92,14 +99,25 @@
     return contents;
 }
 
-status data_folder::perform(const std::vector<disk_operation> &operations)
+status data_folder::perform(std::vector<disk_operation> &operations)
 {
-    for (const disk_operation &each : operations) {
-        if (status done = std::visit([this](const auto &operation) { return run(operation); }, each); failed(done)) {
-            return done;
-        }
+    auto each = operations.begin();
+    status done;
+    while (each != operations.end() && !failed(done)) {
+        done = std::visit([this](const auto &operation) { return run(operation); }, *each);
+        each += failed(done) ? 0 : 1;
+    }
+    operations.erase(operations.begin(), each);
+    return done;
+}
+
+void data_folder::closeAppendHandle()
+{
+    if (m_openFile >= 0) {
+        close(m_openFile);
     }
-    return {};
+    m_openFile = -1;
+    m_openName.clear();
 }
 
 result<int> data_folder::appendHandle(const std::string &name)
@@ -107,14 +125,13 @@
     if (m_openName == name) {
         return m_openFile;
     }
-    if (m_openFile >= 0) {
-        close(m_openFile);
-    }
+    closeAppendHandle();
     m_openName = name;
     m_openFile = ::open((m_path + name).c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, fileMode);
     if (m_openFile < 0) {
-        m_openName.clear();
-        return failure("cannot open " + name);
+        const error why = harmlessFailure("cannot open " + name);
+        closeAppendHandle();
+        return why;
     }
     if (status synced = syncFolder(); failed(synced)) {
         return errorOf(synced);
@@ -128,7 +145,14 @@
     if (failed(file)) {
         return errorOf(file);
     }
-    return writeAll(valueOf(file), operation.data) ? status() : status(failure("cannot write " + operation.name));
+    const off_t before = lseek(valueOf(file), 0, SEEK_END);
+    if (before < 0 || writeAll(valueOf(file), operation.data)) {
+        return before < 0 ? status(failure("cannot find the end of " + operation.name)) : status();
+    }
+    const error why = harmlessFailure("cannot write " + operation.name);
+    const bool restored = ftruncate(valueOf(file), before) == 0;
+    closeAppendHandle();
+    return restored ? why : error{error_kind::DiskFailed, why.what + "; the part that was written cannot be removed", "check the disk"};
 }
 
 status data_folder::run(const sync_file &operation)
@@ -146,10 +170,10 @@
     const std::string temporary = name + temporarySuffix;
     const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode);
     if (file < 0) {
-        return failure("cannot make " + temporary);
+        return harmlessFailure("cannot make " + temporary);
     }
     const bool written = writeAll(file, operation.data) && fsync(file) == 0;
-    status outcome = written ? status() : status(failure("cannot write " + temporary));
+    status outcome = written ? status() : status(harmlessFailure("cannot write " + temporary));
     close(file);
     if (failed(outcome)) {
         return outcome;
@@ -173,9 +197,7 @@
 status data_folder::run(const remove_file &operation)
 {
     if (m_openName == operation.name) {
-        close(m_openFile);
-        m_openFile = -1;
-        m_openName.clear();
+        closeAppendHandle();
     }
     if (unlink((m_path + operation.name).c_str()) != 0 && errno != ENOENT) {
         return failure("cannot remove " + operation.name);
--- a/src/ends/data_folder.h
+++ b/src/ends/data_folder.h
@@ -17,8 +17,15 @@
 
     result<folder_contents> readAll() const;
 
-    /** Performs the operations in order. After a failure nothing about the files is certain: stop. */
-    status perform(const std::vector<disk_operation> &operations);
+    /**
+     * Performs the operations in order and takes out those that are done. Fails with DiskFull if the next one has left
+     * its file as it was and may be performed again; after any other failure nothing about the files is certain: stop.
+     */
+    status perform(std::vector<disk_operation> &operations);
+    status perform(std::vector<disk_operation> &&operations)
+    {
+        return perform(operations);
+    }
 
     /** Bytes that may still be written. */
     std::uint64_t freeBytes() const;
@@ -33,6 +40,7 @@
     status run(const remove_file &operation);
     status syncFolder() const;
     result<int> appendHandle(const std::string &name);
+    void closeAppendHandle();
 
     std::string m_path;
     int m_lock = -1;
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -60,7 +60,7 @@
     if (!m_stopping) {
         m_stopping = true;
         logEvent(event_number::ProcessStopping, {{"role", "control"}});
-        m_pipe ? run(control_stop{}) : m_onEnded(true);
+        m_pipe && !isWaitingForDisk() ? run(control_stop{}) : m_onEnded(true);
     }
 }
 
@@ -155,55 +155,6 @@
     }
 }
 
-void control_task::run(const control_pipe_input &in)
-{
-    if (m_failed) {
-        return;
-    }
-    std::vector<control_pipe_output> outputs = m_pipe->step(in, monotonicNow());
-    m_pendingOutputs.insert(m_pendingOutputs.end(), std::make_move_iterator(outputs.begin()), std::make_move_iterator(outputs.end()));
-    if (!m_pendingOutputs.empty() && !m_flushPosted) {
-        m_flushPosted = true;
-        asio::post(m_context, [this] { flush(); });
-    }
-}
-
-void control_task::flush()
-{
-    m_flushPosted = false;
-    const std::vector<control_pipe_output> outputs = std::exchange(m_pendingOutputs, {});
-    for (const control_pipe_output &each : outputs) {
-        std::visit(overloaded{
-                       [this](const persist_hard_state &out) { m_store.add(out); },
-                       [this](const persist_entries &out) { m_store.add(out); },
-                       [this](const persist_snapshot &out) { m_store.add(out); },
-                       [](const auto &) {},
-                   },
-                   each);
-    }
-    const std::vector<disk_operation> operations = m_store.flush();
-    if (!operations.empty()) {
-        const auto syncStart = monotonicNow();
-        if (status stored = m_folder->perform(operations); failed(stored)) {
-            stopOnFailure(errorOf(stored));
-            return;
-        }
-        m_metrics.observe("carawayloft_log_sync_seconds", {}, monotonicNow() - syncStart);
-    }
-    for (const control_pipe_output &each : outputs) {
-        std::visit([this](const auto &out) { execute(out); }, each);
-    }
-    m_publishedRevision = m_pipe->fleet().at();
-    updateFleetConfiguration();
-}
-
-void control_task::stopOnFailure(const error &failure)
-{
-    m_failed = true;
-    logEvent(event_number::ReplicaStopped, {{"kind", name(failure.kind)}, {"reason", describe(failure)}});
-    m_onEnded(false);
-}
-
 void control_task::execute(const send_to_replica &out)
 {
     if (const control_peer *peer = m_directory.find(replicaNumberOf(out.traffic.to))) {
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -78,7 +78,15 @@
     // The control pipe. Its outputs are executed in batches, so that one disk sync covers all inputs that arrived meanwhile.
     void run(const control_pipe_input &in);
     void flush();
+    void store();
+    void handleDiskFailure(const error &failure);
     void stopOnFailure(const error &failure);
+
+    /** Whether outputs wait until the disk, which is full, has room. Nothing is acknowledged, led or granted meanwhile. */
+    bool isWaitingForDisk() const
+    {
+        return m_diskFullSince.has_value();
+    }
     void execute(const send_to_replica &out);
     void execute(const send_to_link &out);
     void execute(const operator_reply &out);
@@ -149,9 +157,13 @@
     std::optional<control_pipe> m_pipe;
     replica_id m_self;
     std::vector<control_pipe_output> m_pendingOutputs;
+    std::vector<control_pipe_output> m_unstoredOutputs; /**< To be executed once m_diskOperations are done. */
+    std::vector<disk_operation> m_diskOperations;
+    std::vector<control_pipe_input> m_deferredInputs; /**< Arrived while the disk was full. */
+    std::optional<time_point> m_diskFullSince;
+    timer_service::subscription m_diskTimer;
     bool m_flushPosted = false;
     bool m_failed = false;
-    bool m_joining = false;
     link_table m_links;
     std::map<operator_request_token, waiting_request> m_waitingRequests;
     operator_request_token m_lastOperatorToken;
@@ -165,7 +177,6 @@
     std::set<availability_zone_id> m_zonesOutOfService;
     std::set<service_trait> m_quarantinedTraits;
     revision m_publishedRevision; /**< All changes up to this revision have been sent to the subscribers. */
-    log_index m_membersSeenAt;
     peer_links m_peers;
     std::unique_ptr<http_client> m_engineClient;
     mailbox<task_message> m_mailbox;
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -19,6 +19,11 @@
 {
     for (const fleet_pipe_output &each : m_fleet.step(in, monotonicNow())) {
         std::visit([this](const auto &out) { execute(out); }, each);
+    // A replica that cannot write must not direct the fleet; what it hears of the leader's records it must not miss.
+    const bool isHarmless = std::holds_alternative<fleet_mirrored>(in) || std::holds_alternative<gateway_lost>(in);
+    if (isWaitingForDisk() && !isHarmless) {
+        return;
+    }
     }
 }
 
@@ -173,7 +178,7 @@
 
 bool control_task::isActiveFleetLeader() const
 {
-    return m_isFleetLeader && !m_stopping && m_pipe->log().holdsLeaderLease(monotonicNow());
+    return m_isFleetLeader && !m_stopping && !isWaitingForDisk() && m_pipe->log().holdsLeaderLease(monotonicNow());
 }
 
 /** Passes changes of services, availability zones and quarantines in the replicated state to the fleet pipe. */
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -67,6 +67,8 @@
         exchange->respond({ready ? 200U : 503U, {{"Content-Type", "text/plain"}}, ready ? "ok\n" : "not ready\n"});
     } else if (request.path == "/metrics") {
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
+    } else if (isWaitingForDisk()) {
+        respondError(*exchange, {error_kind::DiskFull, "the disk of this control replica is full", "send the request to another control replica"});
     } else if (m_frontEnd != nullptr && serveFrontEnd(request, exchange)) {
         return;
     } else if (!m_pipe) {
--- a/tests/process/child.cpp
+++ b/tests/process/child.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -51,6 +52,12 @@
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
     int state = 0;
     while (m_pid > 0 && waitpid(m_pid, &state, WNOHANG) == 0) {
+void child::limitFileSize(std::uint64_t bytes) const
+{
+    const rlimit limit{bytes, RLIM_INFINITY};
+    ASSERT_EQ(prlimit(m_pid, RLIMIT_FSIZE, &limit, nullptr), 0);
+}
+
         if (std::chrono::steady_clock::now() > end) {
             ADD_FAILURE() << "the process of " << m_logFile << " did not end\n" << log();
             kill();
--- a/tests/process/child.h
+++ b/tests/process/child.h
@@ -20,6 +20,9 @@
 
     /** Waits for the end; the exit code, or minus the signal that ended it. Fails the test after @p seconds. */
     int wait(int seconds = 30);
+    /** Lets no file of the process grow beyond @p bytes, which stands in for a full disk. */
+    void limitFileSize(std::uint64_t bytes) const;
+
 
     /** SIGKILL, and waits for the end. */
     void kill();
--- a/tests/process/platform_core_test.cpp
+++ b/tests/process/platform_core_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <sys/resource.h>
 
 using namespace carawayloft::test_support;
 
@@ -65,6 +66,18 @@
         return held;
     }
 
+    int leaderHost() const
+    {
+        int found = 0;
+        await("a leader", [&] {
+            for (int host = 1; host <= replicas; ++host) {
+                found = metric(host, "carawayloft_leads") == 1 ? host : found;
+            }
+            return found != 0;
+        });
+        return found;
+    }
+
     std::array<std::unique_ptr<child>, replicas> m_processes;
 };
 
@@ -132,3 +145,21 @@
         });
     }
 }
+
+TEST_F(PlatformCore, ALeaderWhoseDiskIsFullForSecondsGoesOnWithoutARestart)
+{
+    const int host = leaderHost();
+    const std::unique_ptr<child> &leader = m_processes.at(host - 1);
+    leader->limitFileSize(1);
+    EXPECT_NE(put(coreAddress(host), configuration(2)), 200);
+    await("the others go on", [this] { return accepted(configuration(2)); });
+    await("they take another change", [this] { return accepted(configuration(3)); });
+    EXPECT_TRUE(allHold(3));
+    leader->limitFileSize(RLIM_INFINITY);
+    await("it catches up", [this] {
+        const double index = metric(1, "carawayloft_log_index");
+        return index > 0 && index == metric(2, "carawayloft_log_index") && index == metric(3, "carawayloft_log_index");
+    });
+    EXPECT_NE(leader->log().find("disk_writable"), std::string::npos);
+    EXPECT_EQ(leader->log().find("replica_stopped"), std::string::npos);
+}
