Let a test's SIGSTOP return only when every thread has stopped

The known red Control.AFrozenLeaderThatThawsAnswersNothingOldAsCurrent sent a read right after kill(SIGSTOP), which returns before the threads have stopped, so a thread that still ran could answer it truly at that moment. child::signal now waits for the stop that the kernel reports for the whole process, so the read is sure to wait for the thaw: the check, its bound and what it reads are as they were, and it is stricter than before.

--- a/tests/process/child.cpp
+++ b/tests/process/child.cpp
@@ -42,22 +42,27 @@
 
 void child::signal(int number) const
 {
-    if (m_pid > 0) {
-        ::kill(m_pid, number);
+    if (m_pid <= 0) {
+        return;
+    }
+    ::kill(m_pid, number);
+    if (number == SIGSTOP) {
+        siginfo_t info{};
+        waitid(P_PID, static_cast<id_t>(m_pid), &info, WSTOPPED | WEXITED | WNOWAIT);
     }
 }
 
-int child::wait(int seconds)
-{
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
-    int state = 0;
-    while (m_pid > 0 && waitpid(m_pid, &state, WNOHANG) == 0) {
 void child::limitFileSize(std::uint64_t bytes) const
 {
     const rlimit limit{bytes, RLIM_INFINITY};
     ASSERT_EQ(prlimit(m_pid, RLIMIT_FSIZE, &limit, nullptr), 0);
 }
 
+int child::wait(int seconds)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    int state = 0;
+    while (m_pid > 0 && waitpid(m_pid, &state, WNOHANG) == 0) {
         if (std::chrono::steady_clock::now() > end) {
             ADD_FAILURE() << "the process of " << m_logFile << " did not end\n" << log();
             kill();
--- a/tests/process/child.h
+++ b/tests/process/child.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,13 +17,14 @@
     child(const child &) = delete;
     child &operator=(const child &) = delete;
 
+    /** Sends a signal; returns from SIGSTOP only when every thread has stopped. */
     void signal(int number) const;
 
-    /** Waits for the end; the exit code, or minus the signal that ended it. Fails the test after @p seconds. */
-    int wait(int seconds = 30);
     /** Lets no file of the process grow beyond @p bytes, which stands in for a full disk. */
     void limitFileSize(std::uint64_t bytes) const;
 
+    /** Waits for the end; the exit code, or minus the signal that ended it. Fails the test after @p seconds. */
+    int wait(int seconds = 30);
 
     /** SIGKILL, and waits for the end. */
     void kill();
