Send nothing to servers that say they leave, or that ask for a pause

What callers and servers would see: requests reach a server that has said in an answer (Server-Leaving: 1) that it leaves, until its announcements say so, which some never do; and a server that answers 503 with Retry-After gets requests again 0.4 s later. Cause: nothing read either header. Change: platform/ reads both, with bounds; values that cannot be meant are ignored and counted. backend_notices keeps them at the gateway by the start of the server that gave them, so they hold without control and do not concern a later start. Control hears who leaves and drains that start for all. Several header lines with one name are one list, so contradictory ones are no number.

--- a/include/carawayloft/fleet/backend_registry.h
+++ b/include/carawayloft/fleet/backend_registry.h
@@ -26,6 +26,12 @@
     bool confirmed = false;
 };
 
+/** A backend server that started at @p startedAt has said in an answer that it leaves. */
+struct backend_leaving {
+    backend_id backend;
+    std::int64_t startedAt = 0; /**< By the wall clock in milliseconds. */
+};
+
 /** The retention time of the record of a departed backend server has passed. */
 struct backend_record_expired {
     backend_id backend;
@@ -44,7 +50,7 @@
 };
 
 using backend_registry_input
-    = std::variant<backend_check_in, backend_departure, backend_failure, backend_record_expired, mirrored_backend_record, request_limit_named>;
+    = std::variant<backend_check_in, backend_departure, backend_leaving, backend_failure, backend_record_expired, mirrored_backend_record, request_limit_named>;
 
 // Outputs.
 
@@ -69,6 +75,7 @@
         time_point recoveredAt; /**< When the server was last heard again after a loss without a restart. */
         time_point limitNamedAt; /**< Time of the answer that the record's request limit is from. */
         bool confirmedDown = false; /**< While the server is lost or has left: whether it is known to be down. */
+        bool leaves = false; /**< It leaves, whatever its later announcements say. */
     };
 
     std::vector<output> step(const input &in, time_point now);
@@ -84,6 +91,7 @@
 private:
     std::vector<output> handle(const backend_check_in &in, time_point now);
     std::vector<output> handle(const backend_departure &in, time_point now);
+    std::vector<output> handle(const backend_leaving &in, time_point now);
     std::vector<output> handle(const backend_failure &in, time_point now);
     std::vector<output> handle(const backend_record_expired &in, time_point now);
     std::vector<output> handle(const mirrored_backend_record &in, time_point now);
--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -144,6 +144,17 @@
     }
 };
 
+/** A backend server that has said in an answer that it leaves. */
+struct leaving_backend {
+    backend_id backend;
+    std::int64_t startedAt = 0; /**< The start of the server that leaves, by the wall clock in milliseconds. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"backend", &leaving_backend::backend}, field{"started_at", &leaving_backend::startedAt});
+    }
+};
+
 /** A gateway's status report to the leader, which also asks to renew its serving lease. */
 struct gateway_report {
     std::uint64_t round = 0; /**< Echoed in the grant. */
@@ -154,6 +165,8 @@
     std::vector<crash_exposure> exposures;
     std::vector<trait_survival> survivals; /**< Of the suspects in the last grant. */
     std::vector<request_limit_report> requestLimits; /**< Those that differ from what control has published. */
+    std::vector<leaving_backend> leaving; /**< Backend servers that control still publishes as ready. */
+    std::vector<backend_id> answering; /**< Backend servers outside groups that have answered lately. */
 
     static constexpr auto fields()
     {
@@ -164,7 +177,9 @@
                           field{"asked", &gateway_report::modelTraffic},
                           field{"exposures", &gateway_report::exposures},
                           field{"survivals", &gateway_report::survivals},
-                          field{"request_limits", &gateway_report::requestLimits});
+                          field{"request_limits", &gateway_report::requestLimits},
+                          field{"leaving", &gateway_report::leaving},
+                          field{"answering", &gateway_report::answering});
     }
 };
 
--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -38,6 +38,9 @@
     bool requestIdMismatch = false; /**< The answer belongs to another request. */
     bool isStream = false;
     std::optional<double> requestLimit{}; /**< Requests per second that the server takes from all gateways together, if it named a limit. */
+    bool leaving = false; /**< The server says that it leaves. */
+    std::optional<duration> refusalTime{}; /**< Time for which the server wants no further requests from this gateway. */
+    std::uint32_t invalidHeaders = 0; /**< Headers with values that cannot be meant, which are ignored. */
 };
 
 struct backend_bytes_received {
@@ -138,6 +141,18 @@
     std::optional<double> requestsPerSecond; /**< From all gateways together. */
 };
 
+/** A backend server has said in an answer that it leaves. */
+struct backend_leaving_observed {
+    backend_id backend;
+    std::int64_t startedAt = 0; /**< The start of the server that leaves, by the wall clock in milliseconds. */
+};
+
+/** A backend server wants no requests from this gateway for a time. */
+struct backend_refusal_observed {
+    backend_id backend;
+    duration length{0};
+};
+
 /** The gateway stops sending to a group for a while. */
 struct group_suspended {
     group_epoch group;
@@ -185,6 +200,8 @@
                                          call_repeated,
                                          unanswered_call_lost,
                                          backend_limit_observed,
+                                         backend_leaving_observed,
+                                         backend_refusal_observed,
                                          group_suspended,
                                          request_ended,
                                          serving_lease_changed>;
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -2,6 +2,7 @@
 
 #include <carawayloft/control/published_fleet.h>
 #include <carawayloft/fleet/backend_view.h>
+#include <carawayloft/gateway/backend_notices.h>
 #include <carawayloft/gateway/crash_witness.h>
 #include <carawayloft/gateway/fleet_limiter.h>
 #include <carawayloft/gateway/gateway_messages.h>
@@ -66,6 +67,7 @@
         time_point waitDeadline; /**< Until when it may wait for a backend server. */
         backend_call_id call; /**< Call in flight, or zero. */
         backend_id backend;
+        std::int64_t backendStartedAt = 0; /**< The start of the server that the call in flight was sent to. */
         group_epoch group; /**< Zero for a server outside any group. */
         time_point sentAt;
         time_point lastByteAt; /**< Last bytes of the call in flight, or its start. */
@@ -150,6 +152,9 @@
 
     // Requests that crash servers.
     bool isQuarantined(const request_context &context) const;
+    void recordNotices(const request_context &context, const backend_answer_started &in);
+    std::vector<leaving_backend> unpublishedLeaving() const;
+    std::vector<backend_id> answeringServers() const;
     void rejectQuarantined(request_context &context);
     void dropQuarantined();
     bool mayHaveCrashedItsServer(const request_context &context) const;
@@ -201,6 +206,7 @@
     std::map<backend_id, double> m_requestShares; /**< Shares of published limits, in requests per second. */
     time_point m_requestSharesUntil;
 
+    backend_notices m_notices;
     std::map<request_id, request_context> m_activeRequests;
     std::map<backend_call_id, request_id> m_calls;
     std::set<request_id> m_deferred; /**< Arrived before the first configuration and lease from control. */
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -49,6 +49,10 @@
         return {"unanswered_call_lost", severity::Warning};
     case event_number::BackendLimitObserved:
         return {"backend_limit_observed", severity::Info};
+    case event_number::BackendLeavingObserved:
+        return {"backend_leaving_observed", severity::Info};
+    case event_number::BackendRefusalObserved:
+        return {"backend_refusal_observed", severity::Info};
     case event_number::WorkRefused:
         return {"work_refused", severity::Info};
     case event_number::LimitChanged:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -36,6 +36,8 @@
     ConfigurationUnreadable = 217,
     UnansweredCallLost = 218,
     BackendLimitObserved = 219,
+    BackendLeavingObserved = 220,
+    BackendRefusalObserved = 221,
     WorkRefused = 300,
     LimitChanged = 301,
     BackendAnnounced = 302,
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -223,7 +223,9 @@
         const std::size_t colon = line.find(':');
         if (colon != std::string_view::npos) {
             const std::size_t value = std::min(line.find_first_not_of(' ', colon + 1), line.size());
-            one.received.emplace(line.substr(0, colon), line.substr(value));
+            // Several lines with one name are one list (RFC 9110, section 5.3).
+            const auto [known, isNew] = one.received.emplace(line.substr(0, colon), line.substr(value));
+            known->second += isNew ? std::string() : ", " + std::string(line.substr(value));
         }
         return size * count;
     }
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -59,6 +59,10 @@
     }
     entry &current = m_entries[in.record.backend];
     backend_record record = in.record;
+    current.leaves = sameStart && current.leaves;
+    if (current.leaves && record.state == backend_state::Ready) {
+        record.state = backend_state::Draining;
+    }
     record.requestLimit = sameStart ? current.record.requestLimit : 0.0;
     if (sameStart && record.loaded.value().empty()) {
         record.loaded = current.record.loaded;
@@ -89,6 +93,20 @@
     return {{in.backend}};
 }
 
+std::vector<backend_registry::output> backend_registry::handle(const backend_leaving &in, time_point)
+{
+    const auto known = m_entries.find(in.backend);
+    if (known == m_entries.end() || known->second.record.startedAt != in.startedAt) {
+        return {};
+    }
+    known->second.leaves = true;
+    if (known->second.record.state != backend_state::Ready) {
+        return {};
+    }
+    known->second.record.state = backend_state::Draining;
+    return {{in.backend}};
+}
+
 std::vector<backend_registry::output> backend_registry::handle(const backend_failure &in, time_point now)
 {
     const auto known = m_entries.find(in.backend);
@@ -121,7 +139,7 @@
     if (m_entries.contains(in.record.backend)) {
         return {};
     }
-    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, {}, false};
+    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, {}, false, false};
     return {};
 }
 
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -179,6 +179,9 @@
 
 /** Counts the request in the reported traffic of its model. */
 void gateway_pipe::recordTraffic(const request_context &context)
+        if (head != nullptr && !acceptsRequests(*head)) {
+            continue;
+        }
 {
     if (context.service->engine && !context.request.model.value().empty()) {
         if (context.isLate) {
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -44,7 +44,8 @@
 
 bool gateway_pipe::acceptsRequests(const backend_view::backend &backend) const
 {
-    return backend.record.state == backend_state::Ready && m_fleet.state().acceptsWork(backend.record.zone);
+    return backend.record.state == backend_state::Ready && !m_notices.isLeaving(backend.record) && !m_notices.refuses(backend.record, m_now)
+           && m_fleet.state().acceptsWork(backend.record.zone);
 }
 
 void gateway_pipe::dispatch(request_context &context)
@@ -156,6 +157,7 @@
     m_lastCall = next(m_lastCall);
     context.call = m_lastCall;
     context.backend = target.backend->record.backend;
+    context.backendStartedAt = target.backend->record.startedAt;
     m_limiter.recordSend(context.backend, m_now);
     if (context.sendCount > 0) {
         m_limiter.recordRetry(context.service->service, m_now);
@@ -267,6 +269,9 @@
     if (context == nullptr) {
         return;
     }
+    if (!in.wrongBackend) {
+        recordNotices(*context, in);
+    }
     if (in.requestIdMismatch) {
         emit(cancel_call{in.call});
         handleCallFailure(*context, true, "the answer belongs to another request");
@@ -308,6 +313,19 @@
 /** Retries elsewhere: the server did not run the request, or a different server uses the address. */
 void gateway_pipe::handleNotExecuted(request_context &context, const backend_answer_started &in)
 {
+/** Records what the server says of itself beside its answer. */
+void gateway_pipe::recordNotices(const request_context &context, const backend_answer_started &in)
+{
+    if (in.leaving && m_notices.recordLeaving(context.backend, context.backendStartedAt)) {
+        emit(backend_leaving_observed{context.backend, context.backendStartedAt});
+        sendReport();
+    }
+    if (in.refusalTime) {
+        m_notices.recordRefusal(context.backend, context.backendStartedAt, *in.refusalTime, m_now);
+        emit(backend_refusal_observed{context.backend, *in.refusalTime});
+    }
+}
+
     const group_epoch group = context.group;
     emit(cancel_call{in.call});
     if (group_monitor *monitor = monitorFor(group)) {
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -194,6 +194,7 @@
     for (const backend_record &each : publication.backends) {
         m_limitObservations.limitPublished(each.backend, each.requestLimit, m_now);
     }
+    m_notices.forget(backend);
     for (const retired_backend &each : publication.retiredBackends) {
         forgetBackend(each.backend);
     }
@@ -249,6 +250,29 @@
     for (const auto &[epoch, monitor] : m_groupMonitors) {
         report.loads.push_back(monitor.ownLoad(epoch, m_now));
     }
+/** The servers that leave, as far as control has not published it. */
+std::vector<leaving_backend> gateway_pipe::unpublishedLeaving() const
+{
+    std::vector<leaving_backend> out = m_notices.leaving();
+    std::erase_if(out, [this](const leaving_backend &each) {
+        const backend_view::backend *known = m_view.find(each.backend);
+        return known == nullptr || known->record.startedAt != each.startedAt || known->record.state != backend_state::Ready;
+    });
+    return out;
+}
+
+/** The servers outside groups that have answered this gateway lately, which shows that they are alive. */
+std::vector<backend_id> gateway_pipe::answeringServers() const
+{
+    std::vector<backend_id> out;
+    for (const auto &[backend, stats] : m_serverStats) {
+        if (stats.answeredAt != time_point() && m_now < stats.answeredAt + answeringTime) {
+            out.push_back(backend);
+        }
+    }
+    return out;
+}
+
     for (const auto &[backend, until] : m_unreachableUntil) {
         report.unreachable.push_back(backend);
     }
@@ -264,3 +288,5 @@
 }
 
 } // namespace carawayloft
+    report.leaving = unpublishedLeaving();
+    report.answering = answeringServers();
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -228,7 +228,9 @@
                        found->second.head = std::move(each);
                        const auto request = m_requests.find(found->second.request);
                        if (request != m_requests.end()) {
-                           run(m_frontEnd.decodeBackendAnswer(found->second.head, request->second.request, call));
+                           const backend_answer_started answer = m_frontEnd.decodeBackendAnswer(found->second.head, request->second.request, call);
+                           m_metrics.count("carawayloft_invalid_backend_headers_total", {}, answer.invalidHeaders);
+                           run(answer);
                        }
                    },
                    [&](http_received &each) {
--- a/src/tasks/gateway_task.h
+++ b/src/tasks/gateway_task.h
@@ -78,6 +78,8 @@
     void execute(const call_repeated &out);
     void execute(const unanswered_call_lost &out);
     void execute(const backend_limit_observed &out);
+    void execute(const backend_leaving_observed &out);
+    void execute(const backend_refusal_observed &out);
     void execute(const group_suspended &out);
     void execute(const request_ended &out);
     void execute(const serving_lease_changed &out);
--- a/src/tasks/gateway_task_events.cpp
+++ b/src/tasks/gateway_task_events.cpp
@@ -44,6 +44,17 @@
              {{"backend", out.backend}, {"requests_per_second", out.requestsPerSecond ? std::to_string(*out.requestsPerSecond) : std::string("none")}});
 }
 
+void gateway_task::execute(const backend_leaving_observed &out)
+{
+    logEvent(event_number::BackendLeavingObserved, {{"backend", out.backend}, {"started_at", out.startedAt}});
+}
+
+void gateway_task::execute(const backend_refusal_observed &out)
+{
+    logEvent(event_number::BackendRefusalObserved, {{"backend", out.backend}, {"length_ms", out.length.count()}});
+    m_metrics.count("carawayloft_backend_refusals_total");
+}
+
 void gateway_task::execute(const group_suspended &out)
 {
     logEvent(event_number::GroupSuspended, {{"group", out.group}, {"silence_ms", out.silence.count()}, {"moved", out.moved}, {"reason", out.reason}});
--- a/tests/fleet/backend_registry_test.cpp
+++ b/tests/fleet/backend_registry_test.cpp
@@ -146,3 +146,24 @@
     EXPECT_FALSE(crashed(registry.step(makeCheckIn("d", 2, 1, "127.0.0.1:9001"), start)));
     EXPECT_FALSE(crashed(registry.step(backend_departure{backend_id("d")}, start)));
 }
+
+TEST(BackendRegistry, AServerThatSaidInAnAnswerThatItLeavesStaysDrainingWhateverItAnnounces)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    EXPECT_EQ(registry.step(backend_leaving{backend_id("a"), 1}, start).size(), 1U);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
+    EXPECT_TRUE(registry.step(makeCheckIn("a", 1, 2), start).empty());
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
+}
+
+TEST(BackendRegistry, ALaterStartIsNotTheServerThatSaidItLeaves)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 1), start);
+    registry.step(backend_leaving{backend_id("a"), 1}, start);
+    registry.step(makeCheckIn("a", 2, 1), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
+    EXPECT_TRUE(registry.step(backend_leaving{backend_id("a"), 1}, start).empty());
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
+}
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -353,3 +353,44 @@
     refusal.reusedConnection = true;
     EXPECT_TRUE(frontEnd().decodeBackendAnswer(refusal, request, backend_call_id(1)).requestIdMismatch);
 }
+
+static backend_answer_started decodedAnswer(std::uint32_t status, const std::string &header, const std::string &value)
+{
+    http_started answer;
+    answer.status = status;
+    answer.headers = {{header, value}};
+    return frontEnd().decodeBackendAnswer(answer, makeRequest("GET", "/x"), backend_call_id(1));
+}
+
+TEST(FrontEnd, ReadsForHowLongAServerWantsNoRequests)
+{
+    EXPECT_EQ(decodedAnswer(503, platform::wire::retryAfter, "2").refusalTime, duration(2'000));
+    EXPECT_EQ(decodedAnswer(503, platform::wire::retryAfter, "0.25").refusalTime, duration(250));
+    EXPECT_EQ(decodedAnswer(200, platform::wire::retryAfter, "2").refusalTime, std::nullopt);
+    for (const char *value : {"nan", "inf", "-1", "1e12", "1000000000000", "soon", "2, 3", "2 s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        const backend_answer_started answer = decodedAnswer(503, platform::wire::retryAfter, value);
+        EXPECT_EQ(answer.refusalTime, std::nullopt) << value;
+        EXPECT_EQ(answer.invalidHeaders, 1U) << value;
+    }
+}
+
+TEST(FrontEnd, ReadsThatAServerLeaves)
+{
+    EXPECT_TRUE(decodedAnswer(200, platform::wire::leaving, "1").leaving);
+    EXPECT_FALSE(decodedAnswer(200, platform::wire::leaving, "0").leaving);
+    for (const char *value : {"1, 1", "true", "-1", "2", "1e0"}) {
+        const backend_answer_started answer = decodedAnswer(200, platform::wire::leaving, value);
+        EXPECT_FALSE(answer.leaving) << value;
+        EXPECT_EQ(answer.invalidHeaders, 1U) << value;
+    }
+}
+
+TEST(FrontEnd, AnAnswerWithoutARequestIdOnAReusedConnectionMayBeALateCopyOfAnEarlierOne)
+{
+    http_started answer;
+    answer.status = 500;
+    answer.reusedConnection = true;
+    EXPECT_TRUE(frontEnd().decodeBackendAnswer(answer, makeCallerRequest(), backend_call_id(1)).requestIdMismatch);
+    answer.reusedConnection = false;
+    EXPECT_FALSE(frontEnd().decodeBackendAnswer(answer, makeCallerRequest(), backend_call_id(1)).requestIdMismatch);
+}
--- a/tests/process/crashing_server.cpp
+++ b/tests/process/crashing_server.cpp
@@ -49,6 +49,12 @@
     m_answerHeader = line;
 }
 
+void crashing_server::setRefusal(const std::string &line)
+{
+    const std::lock_guard lock(m_lock);
+    m_refusal = line;
+}
+
 std::vector<crashing_server::arrival> crashing_server::arrivals() const
 {
     const std::lock_guard lock(m_lock);
@@ -123,13 +129,16 @@
     static const std::string idHeader = "X-Carawayloft-Request-Id: ";
     const std::size_t begin = head.find(idHeader);
     const std::string requestId = begin == std::string::npos ? std::string() : head.substr(begin, head.find("\r\n", begin) - begin) + "\r\n";
+    std::string first = "HTTP/1.1 200 OK\r\nX-Carawayloft-Response-Seal: seal\r\n";
     std::string further;
     {
         const std::lock_guard lock(m_lock);
         further = m_answerHeader.empty() ? std::string() : m_answerHeader + "\r\n";
+        if (!m_refusal.empty()) {
+            first = "HTTP/1.1 503 Service Unavailable\r\nX-Carawayloft-Not-Executed: 1\r\n" + m_refusal + "\r\n";
+        }
     }
-    const auto bytes
-        = std::make_shared<std::string>("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Carawayloft-Response-Seal: seal\r\n" + requestId + further + "\r\nok");
+    const auto bytes = std::make_shared<std::string>(first + "Content-Length: 2\r\n" + requestId + further + "\r\nok");
     asio::async_write(one->socket, asio::buffer(*bytes), [this, one, bytes](const std::error_code &failure, std::size_t) {
         if (failure) {
             m_connections.erase(one);
--- a/tests/process/crashing_server.h
+++ b/tests/process/crashing_server.h
@@ -42,6 +42,9 @@
     /** Adds a header line to every answer from now on; none if it is empty. */
     void setAnswerHeader(const std::string &line);
 
+    /** Rejects every request from now on without running it, with this header line; accepts them again if it is empty. */
+    void setRefusal(const std::string &line);
+
     std::vector<arrival> arrivals() const;
 
     std::vector<std::chrono::steady_clock::time_point> crashes() const;
@@ -77,6 +80,7 @@
     std::uint64_t m_announcements = 0;
     mutable std::mutex m_lock;
     std::string m_answerHeader;
+    std::string m_refusal;
     std::vector<arrival> m_arrivals;
     std::vector<std::chrono::steady_clock::time_point> m_crashes;
     std::thread m_serving;
--- a/tests/process/platform_incidents_test.cpp
+++ b/tests/process/platform_incidents_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 using namespace carawayloft::test_support;
@@ -171,3 +172,57 @@
     await("the servers get more once they name no limit", [&] { return busiestSecond(*m_servers[0]) > 10 && busiestSecond(*m_servers[1]) > 10; });
     EXPECT_LT(steady::now() - lifted, std::chrono::seconds(10));
 }
+
+TEST_F(PlatformIncidents, AServerThatSaysItLeavesGetsNothingMoreFromAnyGateway)
+{
+    constexpr std::chrono::seconds drainTime{2};
+    startSystem(2, {});
+    m_servers[0]->setAnswerHeader("Server-Leaving: 1");
+    const auto begin = steady::now();
+    while (steady::now() < begin + drainTime + std::chrono::seconds(2)) {
+        call(2 + m_requests % 2, "aa:40,own:5");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    const auto all = m_servers[0]->arrivals();
+    EXPECT_EQ(std::count_if(all.begin(), all.end(), [&](const auto &each) { return each.at > begin + drainTime; }), 0);
+    EXPECT_EQ(call(2, "aa:40,own:5"), 200);
+}
+
+TEST_F(PlatformIncidents, AServerThatSaysItLeavesGetsNothingMoreWithoutControl)
+{
+    constexpr std::chrono::seconds drainTime{2};
+    startSystem(2, {});
+    m_core->signal(SIGSTOP);
+    m_servers[0]->setAnswerHeader("Server-Leaving: 1");
+    const auto begin = steady::now();
+    while (steady::now() < begin + drainTime) {
+        call(2, "aa:40,own:5");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    const std::size_t before = m_servers[0]->arrivals().size();
+    m_core->signal(SIGCONT);
+    await("the gateway serves again", [this] { return call(2, "aa:40,own:5") == 200; });
+    for (int i = 0; i < 100; ++i) {
+        call(2, "aa:40,own:5");
+    }
+    EXPECT_EQ(m_servers[0]->arrivals().size(), before);
+}
+
+TEST_F(PlatformIncidents, AServerThatAsksForAPauseGetsAtMostTwoRequestsFromAGatewayMeanwhile)
+{
+    constexpr std::chrono::milliseconds reaction{500};
+    constexpr std::chrono::seconds pause{3};
+    startSystem(1, {});
+    m_servers[0]->setRefusal("Retry-After: 3");
+    const auto begin = steady::now();
+    while (steady::now() < begin + pause) {
+        EXPECT_EQ(call(2, "aa:40,own:5"), 503);
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    const auto all = m_servers[0]->arrivals();
+    const auto first = std::find_if(all.begin(), all.end(), [&](const auto &each) { return each.at > begin; });
+    ASSERT_NE(first, all.end());
+    EXPECT_LE(std::count_if(first, all.end(), [&](const auto &each) { return each.at > first->at + reaction && each.at < first->at + pause; }), 2);
+    m_servers[0]->setRefusal({});
+    await("the server gets requests again", [this] { return call(2, "aa:40,own:5") == 200; });
+}
