Measure the progress of streams by whole events, and leave slow ones alone

What callers saw: a server that sends a byte now and then, and never an event, kept its stream until the deadline; and a stream of a slow but sound group was cut when no other group would take it. Cause: any byte counted as progress, of the call and of its group; and a silent call was cancelled before anything was known to be free for it. Change: of a stream only whole events are progress. A silent call of a group that is not known to be lost moves only if another server would take it now and the retry budget has room.

--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -70,7 +70,7 @@
         std::int64_t backendStartedAt = 0; /**< The start of the server that the call in flight was sent to. */
         group_epoch group; /**< Zero for a server outside any group. */
         time_point sentAt;
-        time_point lastByteAt; /**< Last bytes of the call in flight, or its start. */
+        time_point progressAt; /**< Last progress of the call in flight, or its start: whole events of a stream, else bytes. */
         std::optional<time_point> answerBegunAt; /**< First event or bytes of the call in flight. */
         bool survivalRecorded = false; /**< The server has survived the beginning of the answer in flight. */
         std::uint32_t sendCount = 0;
@@ -138,6 +138,7 @@
     duration drawRetryAfter();
     void checkTimeouts(request_context &context);
 
+    bool canMove(request_context &context);
     // Answers of backend servers.
     void handle(const backend_answer_started &in);
     void handle(const backend_bytes_received &in);
@@ -145,6 +146,7 @@
     void handle(const backend_call_failed &in);
     request_context *findByCall(backend_call_id call);
     void handleNotExecuted(request_context &context, const backend_answer_started &in);
+    void recordProgress(request_context &context);
     void recordOutcome(const request_context &context, bool failure);
     double namedLimitOf(const backend_record &record) const;
     std::optional<double> namedShareOf(const backend_record &record) const;
@@ -166,7 +168,7 @@
     group_monitor *monitorFor(group_epoch group);
     void checkGroups();
     void probeMembers(const engine_group &group);
-    void suspendGroup(group_epoch group, const std::string &reason);
+    void suspendGroup(group_epoch group, const std::string &reason, bool isLost);
     void handle(const probe_finished &in);
 
     // Control.
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -324,16 +324,31 @@
         if (context.call.value() != 0) {
             emit(cancel_call{context.call});
             endCall(context);
+/** Whether another backend server would take the request now; the one that has it may be slow but sound. */
+bool gateway_pipe::canMove(request_context &context)
+{
+    if (!m_limiter.mayRetry(context.service->service, m_now)) {
+        return false;
+    }
+    const bool isNew = context.triedBackends.insert(context.backend).second;
+    const std::optional<candidate> target = chooseBackend(context);
+    if (isNew) {
+        context.triedBackends.erase(context.backend);
+    }
+    return target && target->backend->record.backend != context.backend;
+}
+
         }
         giveUp(context);
         return;
     }
-    const duration silence = std::chrono::duration_cast<duration>(m_now - context.lastByteAt);
+    const duration silence = std::chrono::duration_cast<duration>(m_now - context.progressAt);
     const group_monitor *monitor = monitorFor(context.group);
     // A dead connection affects only this call: the group itself may make progress.
     if (context.call.value() != 0 && monitor != nullptr && context.route->allowsRetry() && context.possibleRuns < context.route->attempts
         && silence > std::max(
-               minStreamTimeout, std::chrono::ceil<duration>(streamTimeoutFactor * monitor->forecast(context.request.promptTokens, m_now).timeToFirstEvent))) {
+               minStreamTimeout, std::chrono::ceil<duration>(streamTimeoutFactor * monitor->forecast(context.request.promptTokens, m_now).timeToFirstEvent))
+        && canMove(context)) {
         emit(cancel_call{context.call});
         handleCallFailure(context, true, "no data for " + std::to_string(silence.count()) + " ms");
         return;
@@ -341,7 +356,7 @@
     const bool awaitsHead = context.group.value() == 0 && context.call.value() != 0 && !context.headReceived;
     const bool retryable = context.route->kind == retry_policy::Idempotent && context.possibleRuns < context.route->attempts;
     // A server outside any group that has not answered after most of the objective has lost the request or is slow.
-    if (awaitsHead && retryable && m_now >= context.sentAt + context.route->objective * 6 / 10) {
+    if (awaitsHead && retryable && m_now >= context.sentAt + context.route->objective * 6 / 10 && canMove(context)) {
         emit(cancel_call{context.call});
         handleCallFailure(context, true, "no answer within most of the latency objective");
     }
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -165,7 +165,7 @@
     context.group = target.group;
     context.forecast = target.forecast;
     context.sentAt = m_now;
-    context.lastByteAt = m_now;
+    context.progressAt = m_now;
     context.answerBegunAt.reset();
     context.survivalRecorded = false;
     context.headReceived = false;
@@ -340,13 +340,18 @@
 void gateway_pipe::handle(const backend_bytes_received &in)
 {
     request_context *context = findByCall(in.call);
+/** Records progress of the call in flight. Of a stream only whole events count: a server that sends a byte now and then is stalled. */
+void gateway_pipe::recordProgress(request_context &context)
+{
+    if (group_monitor *monitor = monitorFor(context.group)) {
+        monitor->recordProgress(context.call, m_now);
+    }
+    context.progressAt = m_now;
+}
+
     if (context == nullptr) {
         return;
     }
-    if (group_monitor *monitor = monitorFor(context->group)) {
-        monitor->recordProgress(in.call, m_now);
-    }
-    context->lastByteAt = m_now;
     if (context->firstByte.count() == 0) {
         context->firstByte = std::chrono::duration_cast<duration>(m_now - context->arrivedAt);
     }
@@ -354,6 +359,7 @@
         context->answerBegunAt = context->answerBegunAt.value_or(m_now);
         recordAnswerProgress(*context, false);
         context->body += in.bytes;
+        recordProgress(*context);
         if (context->body.size() > maxWholeAnswerBytes) {
             emit(cancel_call{in.call});
             handleCallFailure(*context, true, "the answer is too long");
@@ -370,6 +376,7 @@
         context->answerBegunAt = context->answerBegunAt.value_or(m_now);
         recordAnswerProgress(*context, false);
         if (context->eventRelayed) {
+        recordProgress(*context);
             context->longestPause = std::max(context->longestPause, std::chrono::duration_cast<duration>(m_now - context->lastRelayedAt));
         }
         context->eventRelayed = true;
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -59,7 +59,9 @@
             continue;
         }
         if (monitor->isStalled(m_now)) {
-            suspendGroup(group.epoch, "no progress for too long");
+            if (!monitor->isSuspended(m_now)) {
+                suspendGroup(group.epoch, "no progress for too long", false);
+            }
         } else if (monitor->isSuspect(m_now)) {
             probeMembers(group);
         }
@@ -103,8 +105,11 @@
     suspendGroup(probe.group, "member " + probe.backend.value() + " cannot be reached");
 }
 
-/** Stops sending to a group and moves its calls to other groups where the requests may run again. */
-void gateway_pipe::suspendGroup(group_epoch group, const std::string &reason)
+/**
+ * Stops sending to a group and moves its calls to other groups where the requests may run again. Of a group that is not
+ * known to be lost, calls that no other group would take now stay: it may be slow but sound.
+ */
+void gateway_pipe::suspendGroup(group_epoch group, const std::string &reason, bool isLost)
 {
     group_monitor *monitor = monitorFor(group);
     if (monitor == nullptr) {
@@ -125,8 +130,9 @@
         emit(group_suspended{group, reason, silence, affected.size()});
     }
     for (const request_id &request : affected) {
-        if (const auto found = m_activeRequests.find(request);
-            found != m_activeRequests.end() && found->second.route->allowsRetry() && found->second.possibleRuns < found->second.route->attempts) {
+        if (const auto found = m_activeRequests.find(request); found != m_activeRequests.end() && found->second.route->allowsRetry()
+                                                               && found->second.possibleRuns < found->second.route->attempts
+                                                               && (isLost || canMove(found->second))) {
             emit(cancel_call{found->second.call});
             handleCallFailure(found->second, true, reason);
         }
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -780,3 +780,129 @@
     EXPECT_TRUE(outputsOf<finish_answer>().empty());
     EXPECT_EQ(outputsOf<call_backend>().size(), 1U);
 }
+
+TEST_F(GatewayPipe, SendsNothingMoreToAServerThatSaidInAnAnswerThatItLeaves)
+{
+    const call_backend first = startCall(1, "/records/x");
+    backend_answer_started last{first.call, 200, false, false, false, false};
+    last.leaving = true;
+    step(last);
+    ASSERT_EQ(lastReport.leaving.size(), 1U);
+    EXPECT_EQ(lastReport.leaving.front().backend, first.backend);
+    step(backend_answer_finished{first.call});
+    for (std::uint64_t id = 2; id < 42; ++id) {
+        EXPECT_NE(startCall(id, "/records/x").backend, first.backend);
+    }
+}
+
+TEST_F(GatewayPipe, ALaterStartOfAServerThatLeftGetsRequests)
+{
+    const call_backend first = startCall(1, "/records/x");
+    backend_answer_started last{first.call, 200, false, false, false, false};
+    last.leaving = true;
+    step(last);
+    publish_fleet restarted;
+    restarted.backends = {makeBackend(first.backend.value(), plainService)};
+    restarted.backends.front().startedAt = 2;
+    receive(restarted);
+    bool used = false;
+    for (std::uint64_t id = 2; id < 42; ++id) {
+        used = used || startCall(id, "/records/x").backend == first.backend;
+    }
+    EXPECT_TRUE(used);
+    advance(duration(250));
+    tick();
+    EXPECT_TRUE(lastReport.leaving.empty());
+}
+
+TEST_F(GatewayPipe, AServerThatAsksForAPauseGetsNoRequestsUntilItsEnd)
+{
+    const call_backend first = startCall(1, "/records/x");
+    backend_answer_started refusal{first.call, 503, true, false, false, false};
+    refusal.refusalTime = duration(2'000);
+    step(refusal);
+    for (std::uint64_t id = 2; id < 42; ++id) {
+        EXPECT_NE(startCall(id, "/records/x").backend, first.backend);
+    }
+    advance(duration(2'000));
+    tick();
+    grant();
+    bool used = false;
+    for (std::uint64_t id = 42; id < 82; ++id) {
+        used = used || startCall(id, "/records/x").backend == first.backend;
+    }
+    EXPECT_TRUE(used);
+}
+
+TEST_F(GatewayPipe, AGroupWhoseHeadAsksForAPauseIsNotProbed)
+{
+    const call_backend first = startCall(1, "/draft/x");
+    backend_answer_started refusal{first.call, 503, true, false, false, false};
+    refusal.refusalTime = duration(2'000);
+    step(refusal);
+    EXPECT_TRUE(outputsOf<probe_backend>().empty());
+    const auto second = outputsOf<call_backend>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second.front().backend, first.backend);
+    answer(second.front(), 200, true);
+    step(backend_bytes_received{second.front().call, event(1)});
+    step(backend_answer_finished{second.front().call});
+    advance(duration(1'900));
+    EXPECT_EQ(startCall(2, "/draft/x").backend, second.front().backend);
+}
+
+TEST_F(GatewayPipe, AStalledStreamThatSendsAByteNowAndThenMovesToAnotherGroup)
+{
+    const call_backend first = startCall(1, "/draft/x");
+    answer(first, 200, true);
+    step(backend_bytes_received{first.call, event(1)});
+    std::vector<call_backend> moved;
+    for (int i = 0; i < 100 && moved.empty(); ++i) {
+        advance(duration(20));
+        step(backend_bytes_received{first.call, " "});
+        tick();
+        moved = outputsOf<call_backend>();
+        grant();
+    }
+    ASSERT_EQ(moved.size(), 1U);
+    EXPECT_NE(moved.front().backend, first.backend);
+    EXPECT_EQ(moved.front().resumeAfter, stream_event_id(1));
+}
+
+TEST_F(GatewayPipe, ASlowStreamStaysWhereItIsIfNoOtherGroupWouldTakeIt)
+{
+    const call_backend call = startCall(1, "/draft/x");
+    answer(call, 200, true);
+    step(backend_bytes_received{call.call, event(1)});
+    publish_fleet change;
+    change.retiredGroups = {{call.backend == backend_id("h1") ? group_epoch(2) : group_epoch(1)}};
+    receive(change);
+    for (int i = 0; i < 150; ++i) {
+        advance(duration(20));
+        tick();
+        EXPECT_TRUE(outputsOf<cancel_call>().empty());
+        EXPECT_TRUE(outputsOf<abort_answer>().empty());
+        for (const probe_backend &probe : outputsOf<probe_backend>()) {
+            step(probe_finished{probe.probe, true});
+        }
+        grant();
+    }
+    step(backend_bytes_received{call.call, event(2)});
+    ASSERT_EQ(outputsOf<continue_answer>().size(), 1U);
+    EXPECT_EQ(outputsOf<continue_answer>().front().bytes, event(2));
+}
+
+TEST_F(GatewayPipe, FirstAttemptsOfCallersWithLessTimeThanTheRouteAllowsAreDemand)
+{
+    constexpr int requests = 30;
+    for (int i = 1; i <= requests; ++i) {
+        gateway_request request = makeRequest(i, "/draft/x");
+        request.timeLimit = duration(5'000 - i * 25); // The route allows 5 s.
+        step(request);
+    }
+    advance(duration(250));
+    tick();
+    ASSERT_EQ(lastReport.modelTraffic.size(), 1U);
+    EXPECT_EQ(lastReport.modelTraffic.front().recentRequestsPerSecond, requests / 2.0); // Over two seconds.
+    EXPECT_EQ(lastReport.modelTraffic.front().returningPerSecond, 0.0);
+}
