Do not give up a server that only control cannot hear

What callers saw: servers of a plain service that are cut off from control got no requests any more after 2.7 s, though gateways reached them; with all of them cut off, the service was refused. Cause: only members of groups whose streams progress were spared; answers of other servers were not reported. Change: gateways report which servers outside groups have answered them lately, and control takes those for alive, as it does with groups.

--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -41,6 +41,7 @@
         time_point heardAt;
         std::vector<group_load> loads;
         std::set<backend_id> unreachable;
+        std::set<backend_id> answering; /**< Servers outside groups that answer it. */
         std::vector<model_traffic> modelTraffic;
     };
     /** Probes of one backend server by this replica. */
@@ -81,6 +82,7 @@
     void checkSilentBackends();
     void expireRecords();
     bool groupProgresses(const backend_id &member) const;
+    bool isServing(const backend_id &backend) const;
     bool isUnreachableForAllUsers(const backend_id &backend) const;
     std::uint32_t countRecentGateways();
     std::vector<request_share> sharesOf(link_id gateway);
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -94,6 +94,7 @@
         std::uint32_t running = 0;
         double failureRate = 0.0; /**< Moving average over recent calls. */
         time_point avoidedUntil;
+        time_point answeredAt; /**< Start of its latest answer. */
     };
     struct group_probe {
         group_epoch group;
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -160,6 +160,13 @@
     return false;
 }
 
+/** Whether gateways get answers from the backend server or its group, which shows that it is alive. */
+bool fleet_pipe::isServing(const backend_id &backend) const
+{
+    return groupProgresses(backend)
+           || std::any_of(m_gateways.begin(), m_gateways.end(), [&](const auto &each) { return each.second.answering.contains(backend); });
+}
+
 /** Whether any gateway reports the backend server as unreachable. */
 bool fleet_pipe::isReportedUnreachable(const backend_id &backend) const
 {
@@ -186,7 +193,7 @@
 void fleet_pipe::assessUnreachable(const backend_id &backend)
 {
     const bool confirmed = isReportedUnreachable(backend) && isUnreachableForAllUsers(backend);
-    if (!confirmed && groupProgresses(backend)) {
+    if (!confirmed && isServing(backend)) {
         return;
     }
     stepRegistry(backend_failure{backend, confirmed}, confirmed ? "unreachable for gateways and control" : "unreachable for control");
@@ -204,7 +211,7 @@
     }
     for (const backend_id &each : silent) {
         const time_point heardAt = std::max(m_registry.find(each)->heardAt, m_leadsSince);
-        if (m_now >= heardAt + lostAfterSilence && !groupProgresses(each)) {
+        if (m_now >= heardAt + lostAfterSilence && !isServing(each)) {
             stepRegistry(backend_failure{each, false}, "announcements stopped");
         } else {
             startProbe(each);
--- a/src/fleet_pipe/fleet_pipe_gateways.cpp
+++ b/src/fleet_pipe/fleet_pipe_gateways.cpp
@@ -39,6 +39,7 @@
     found->second.heardAt = m_now;
     found->second.loads = in.report.loads;
     found->second.modelTraffic = in.report.modelTraffic;
+    found->second.answering = {in.report.answering.begin(), in.report.answering.end()};
     found->second.unreachable = {in.report.unreachable.begin(), in.report.unreachable.end()};
     const bool serves = std::any_of(in.report.loads.begin(), in.report.loads.end(), [](const group_load &each) { return each.running > 0; });
     if (serves && !m_trafficStarted) {
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -279,6 +279,9 @@
     }
     if (!in.wrongBackend) {
         recordNamedLimit(context->backend, in.requestLimit);
+        if (context->group.value() == 0) {
+            m_serverStats[context->backend].answeredAt = m_now;
+        }
     }
     if (in.wrongBackend || in.notExecuted) {
         handleNotExecuted(*context, in);
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -18,6 +18,9 @@
 /** Validity of a share of a server's request limit: another gateway may get it once control does not hear from this one. */
 static constexpr duration requestShareTime{2'000};
 
+/** Time for which an answer shows that a server outside any group is alive. */
+static constexpr duration answeringTime{1'500};
+
 /** Time for which reports list a backend server as unreachable. */
 static constexpr duration unreachableReportTime{3'000};
 
@@ -270,6 +273,15 @@
 /** The servers outside groups that have answered this gateway lately, which shows that they are alive. */
 std::vector<backend_id> gateway_pipe::answeringServers() const
 {
+void gateway_pipe::sendReport()
+{
+    m_nextReportAt = m_now + reportPeriod;
+    gateway_report report;
+    report.round = ++m_lastRound;
+    report.at = m_fleet.state().at();
+    for (const auto &[epoch, monitor] : m_groupMonitors) {
+        report.loads.push_back(monitor.ownLoad(epoch, m_now));
+    }
     std::vector<backend_id> out;
     for (const auto &[backend, stats] : m_serverStats) {
         if (stats.answeredAt != time_point() && m_now < stats.answeredAt + answeringTime) {
@@ -277,6 +289,8 @@
         }
     }
     return out;
+    report.leaving = unpublishedLeaving();
+    report.answering = answeringServers();
 }
 
     for (const auto &[backend, until] : m_unreachableUntil) {
@@ -294,5 +308,3 @@
 }
 
 } // namespace carawayloft
-    report.leaving = unpublishedLeaving();
-    report.answering = answeringServers();
