Do not take a late copy of an answer for that to a later call

What callers could see: a server that writes an answer twice, late, on a connection in use again. A failure without a request id was taken for the answer to the next request; agents, which have no ids to compare, took any. The agent's half is shown by reading alone.

--- a/src/tasks/agent_task.cpp
+++ b/src/tasks/agent_task.cpp
@@ -221,6 +221,8 @@
     if (request.resumeAt.value() > 0) {
         call.headers.emplace("X-Resume-Offset", std::to_string(request.resumeAt.value()));
     }
+    // A kept connection may hold a late copy of an earlier answer, and libcurl repeats a call on one that turns out dead.
+    call.freshConnection = true;
     const attempt_key key = out.key;
     m_calls[key] = m_client->start(call, [this, key](const http_event &event) {
         std::visit(overloaded{
