Count first attempts that state a little less time than the route allows

Cause: a request with less than 0.9 of the route's time limit counted as returning after a rejection. Returning ones state 0.25 to 0.85. Ruled out: missing gateways and short windows (all requests reach the meter, each gateway reports). Change: the bound is 0.8, a function and a constant of their own.

--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -11,6 +11,9 @@
 static constexpr int waitDivisor = 4;
 static constexpr duration maxWait{1'200};
 
+/** Most of the route's time limit that a returning request has left. First attempts differ in their time limits, too, but not by so much. */
+static constexpr double maxReturningTimeShare = 0.8;
+
 /** Retry delay sent to rejected callers: about the time that the repair of a group takes, spread so that they do not return together. */
 static constexpr duration minRetryAfter{900};
 static constexpr duration maxRetryAfter{2'400};
@@ -91,6 +94,12 @@
     }
 }
 
+/** Whether the caller has been rejected before: it states what is left of its time limit, and will not return once more. */
+static bool isReturning(const gateway_request &request, const service_route &route)
+{
+    return request.timeLimit.count() > 0 && request.timeLimit < maxReturningTimeShare * route.timeLimit;
+}
+
 void gateway_pipe::admit(request_context &context)
 {
     const gateway_request &in = context.request;
@@ -102,8 +111,7 @@
     const duration limit = in.timeLimit.count() > 0 ? std::min(in.timeLimit, context.route->timeLimit) : context.route->timeLimit;
     context.deadline = context.arrivedAt + limit;
     m_limiter.countRequest(context.service->service, m_now);
-    // A retry after a rejection states a shorter time limit; the caller will not retry once more.
-    context.isLate = (in.timeLimit.count() > 0 && in.timeLimit < context.route->timeLimit * 9 / 10) || m_now >= context.arrivedAt + context.route->objective;
+    context.isLate = isReturning(in, *context.route) || m_now >= context.arrivedAt + context.route->objective;
     recordTraffic(context);
     if (shouldShed(context)) {
         const error overload{error_kind::Overloaded, "the groups of the model are overloaded", "retry after the stated time"};
