Answer every accepted request in a planned stop under load

What callers saw: in a planned stop, connections that the system had just accepted were reset when the port closed 3 s after SIGTERM, with requests already written; later ones found a closed port, which does not say that nothing ran. Cause: the listening socket was closed with connections in its queue. Change: the gateway goes on taking connections and rejects their requests as not run until all in flight have ended. To close, the server first has the system drop segments that open connections, then takes those that wait. Ruled out for the other report (requests taken late in the grace): they are rejected from 3 s on, also on kept connections.

--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -70,7 +70,7 @@
     endpoint readiness;
     endpoint metrics;
     fleet_limits limits;
-    duration stopListeningDelay{0}; /**< Time from the start of a planned stop in which callers can move to other gateways. */
+    duration stopAcceptingDelay{0}; /**< Time from the start of a planned stop in which callers can move to other gateways. */
     duration stopTimeout{0}; /**< Requests still in flight at its end are aborted. */
 };
 
--- a/src/ends/http_server.cpp
+++ b/src/ends/http_server.cpp
@@ -3,7 +3,11 @@
 #include "ends/event_log.h"
 #include "ends/frame_link.h"
 
+#include <asio/steady_timer.hpp>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <restinio/all.hpp>
+#include <sys/socket.h>
 
 #include <unordered_map>
 #include <unordered_set>
@@ -22,6 +26,10 @@
 /** One more than the request in flight, so that the server keeps reading and sees a caller hang up. */
 static constexpr std::size_t pipelinedRequests = 2;
 
+/** Interval at which a server that stops listening looks whether connections wait, and for how long it does. */
+static constexpr std::chrono::milliseconds closeRetryPeriod{5};
+static constexpr std::chrono::milliseconds maxCloseTime{50};
+
 namespace {
 
 /** Tells exchanges that their connection has closed. */
@@ -246,6 +254,7 @@
 public:
     impl(asio::io_context &context, const asio::ip::tcp::endpoint &at, const http_limits &limits, handler handle)
         : m_handle(std::move(handle))
+        , m_closeTimer(context)
         , m_watch(std::make_shared<connection_watch>())
         , m_server(restinio::external_io_context(context), [&](auto &settings) {
             settings.address(at.address().to_string())
@@ -257,6 +266,7 @@
                 .write_http_response_timelimit(maxWriteTime)
                 .socket_options_setter([](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
                 .connection_state_listener(m_watch)
+                .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) { m_listeningSocket = acceptor.native_handle(); })
                 .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                               .max_url_size(limits.maxHeaderBytes)
                                               .max_field_name_size(limits.maxHeaderBytes)
@@ -273,12 +283,52 @@
         m_server.open_sync();
     }
 
+    /** Connections that the system has accepted and that are not served yet would be reset, so they are taken first. */
     void stopListening()
     {
-        m_server.close_sync();
+        m_closeBy = std::chrono::steady_clock::now() + maxCloseTime;
+        ignoreNewConnections();
+        awaitClose();
     }
 
 private:
+    /** Makes the system drop segments that open a connection, so that none is accepted while the port closes. */
+    void ignoreNewConnections() const
+    {
+        static constexpr std::uint32_t flagsOffset = 13; // In the TCP header.
+        static constexpr std::uint32_t synFlag = 0x02;
+        static constexpr std::uint32_t wholeSegment = 0xffffffff;
+        std::array<sock_filter, 4> program{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+                                            BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
+                                            BPF_STMT(BPF_RET | BPF_K, 0),
+                                            BPF_STMT(BPF_RET | BPF_K, wholeSegment)}};
+        const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
+        setsockopt(m_listeningSocket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+    }
+
+    void awaitClose()
+    {
+        m_closeTimer.expires_after(closeRetryPeriod);
+        m_closeTimer.async_wait([this](const std::error_code &failure) {
+            if (failure) {
+                return;
+            }
+            if (waitingConnections() == 0 || std::chrono::steady_clock::now() >= m_closeBy) {
+                m_server.close_sync();
+            } else {
+                awaitClose();
+            }
+        });
+    }
+
+    /** Connections in the accept queue; zero where the system does not tell. */
+    std::size_t waitingConnections() const
+    {
+        tcp_info info{};
+        socklen_t size = sizeof(info);
+        return getsockopt(m_listeningSocket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_unacked : 0;
+    }
+
     restinio::request_handling_status_t take(restinio::request_handle_t raw)
     {
         m_watch->heard(raw->connection_id());
@@ -297,6 +347,9 @@
     }
 
     handler m_handle;
+    int m_listeningSocket = -1;
+    asio::steady_timer m_closeTimer;
+    std::chrono::steady_clock::time_point m_closeBy;
     std::shared_ptr<connection_watch> m_watch;
     raw_server m_server;
 };
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -113,9 +113,9 @@
         return;
     }
     m_stopping = true;
-    m_rejectFrom = monotonicNow() + m_settings.gateway->stopListeningDelay;
+    m_rejectFrom = monotonicNow() + m_settings.gateway->stopAcceptingDelay;
     logEvent(event_number::ProcessStopping, {{"role", "gateway"}, {"in_flight", m_pipe.inFlight()}});
-    m_drainTimer = m_timers.after(m_settings.gateway->stopListeningDelay, [this](time_point) { drain(); });
+    m_drainTimer = m_timers.after(m_settings.gateway->stopAcceptingDelay, [this](time_point) { drain(); });
     m_stopTimer = m_timers.after(m_settings.gateway->stopTimeout, [this](time_point) {
         if (m_pipe.inFlight() > 0) {
             logEvent(event_number::StopOverdue, {{"role", "gateway"}, {"cut", m_pipe.inFlight()}, {"bound_ms", m_settings.gateway->stopTimeout.count()}});
@@ -126,13 +126,14 @@
 
 void gateway_task::drain()
 {
-    m_callerServer->stopListening();
     run(request_stop{});
 }
 
 void gateway_task::execute(const requests_drained &)
 {
     m_flushTimer = m_timers.after(flushDelay, [this](time_point) { finishStop(); });
+    // Until now callers who still come get a rejection that says that nothing ran; a closed port would tell them nothing.
+    m_callerServer->stopListening();
 }
 
 void gateway_task::finishStop()
--- a/tests/process/http_call.cpp
+++ b/tests/process/http_call.cpp
@@ -70,6 +70,7 @@
     curl_slist_free_all(headers);
     in.answer.status = static_cast<int>(status);
     in.answer.whole = code == CURLE_OK;
+    in.answer.neverConnected = code == CURLE_COULDNT_CONNECT;
     return in.answer;
 }
 
--- a/tests/process/http_call.h
+++ b/tests/process/http_call.h
@@ -13,6 +13,7 @@
     std::map<std::string, std::string> headers; /**< By lower-case name. */
     std::string body;
     bool whole = false; /**< False when the connection was cut in the answer. */
+    bool neverConnected = false; /**< Nobody took the connection. */
 };
 
 struct http_question {
--- a/tests/process/platform_path_test.cpp
+++ b/tests/process/platform_path_test.cpp
@@ -2,7 +2,10 @@
 #include "process/platform_processes.h"
 
 #include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -224,3 +227,47 @@
     m_core->signal(SIGCONT);
     await("keyed requests are served again", [this] { return call("/records/x").status == 200; });
 }
+
+TEST_F(PlatformPath, ARequestLateInTheGraceOfAPlannedStopIsRefusedAsNotRun)
+{
+    std::future<http_answer> slow = askLater(question("/records/first/slow"));
+    m_front->signal(SIGTERM);
+    slow.get();
+    // A kept connection outlives the moment at which the gateway stops taking new ones.
+    asio::io_context context;
+    asio::ip::tcp::socket kept(context);
+    kept.connect(asio::ip::tcp::endpoint(asio::ip::make_address(net() + "2"), 8227));
+    std::this_thread::sleep_for(std::chrono::milliseconds(3'200));
+    const std::size_t before = m_server->asked().size();
+    const std::string late = "POST /records/late/slow HTTP/1.1\r\nHost: ledger.example\r\nX-Carawayloft-Request-Id: late\r\n"
+                             "Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n";
+    std::error_code failure;
+    asio::write(kept, asio::buffer(late), failure);
+    std::string answer;
+    asio::read(kept, asio::dynamic_buffer(answer), failure);
+    EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_EQ(m_server->asked().size(), before);
+    EXPECT_EQ(m_front->wait(), 0);
+}
+
+TEST_F(PlatformPath, InAPlannedStopUnderLoadEveryAcceptedRequestIsAnswered)
+{
+    std::atomic<int> answered = 0;
+    std::atomic<int> cut = 0;
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < 8; ++i) {
+        callers.emplace_back([&, this](const std::stop_token &stop) {
+            while (!stop.stop_requested()) {
+                const http_answer each = call("/records/x");
+                answered += each.status == 200 || each.status == 503 ? 1 : 0;
+                cut += each.status == 0 && !each.neverConnected ? 1 : 0;
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    m_front->signal(SIGTERM);
+    EXPECT_EQ(m_front->wait(), 0);
+    callers.clear();
+    EXPECT_GT(answered.load(), 100);
+    EXPECT_EQ(cut.load(), 0);
+}
