--- a/review/stand_in/stand_in.cpp
+++ b/review/stand_in/stand_in.cpp
@@ -327,6 +327,19 @@
               + std::to_string(readyPort) + "\nbootstrap=true\n");
 }
 
+bool deployment::hasEnded(int number)
+{
+    const std::string name = "core-" + std::to_string(number);
+    int status = 0;
+    if (waitpid(m_processes.at(name), &status, WNOHANG) <= 0) {
+        return false;
+    }
+    m_processes.erase(name);
+    m_record.line(name + " has ended by itself, "
+                  + (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status)) : "exit code " + std::to_string(WEXITSTATUS(status))));
+    return true;
+}
+
 void deployment::killReplica(int number)
 {
     const std::string name = "core-" + std::to_string(number);
@@ -362,23 +375,42 @@
     return answer && answer->status() == 200;
 }
 
+void serve(deployment &system, record &out, const std::string &ip, std::function<bool(connection &, const message &)> answer)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = addressOf(ip, deployment::workerPort);
+    if (bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || listen(listener, 512) != 0) {
+        out.line("cannot run: a worker cannot listen");
+        system.end();
+        std::exit(couldNotRun);
+    }
+    std::thread([listener, answer = std::move(answer)] {
+        while (true) {
+            const int socket = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (socket < 0) {
+                continue;
+            }
+            std::thread([socket, answer] {
+                connection caller(socket);
+                std::optional<message> request = caller.receive(30.0);
+                while (request && answer(caller, *request)) {
+                    request = caller.receive(30.0);
+                }
+            }).detach();
+        }
+    }).detach();
+}
+
 worker::worker(deployment &system, record &out, int number, double workSeconds, std::function<outcome(const message &)> decide)
     : m_system(system)
     , m_record(out)
     , m_number(number)
     , m_workSeconds(workSeconds)
     , m_decide(std::move(decide))
-    , m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    const int on = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const sockaddr_in address = addressOf(m_system.workerIp(m_number), deployment::workerPort);
-    if (bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(m_listener, 512) != 0) {
-        out.line("cannot run: a worker cannot listen");
-        m_system.end();
-        std::exit(couldNotRun);
-    }
-    std::thread([this] { listen(); }).detach();
+    serve(system, out, system.workerIp(number), [this](connection &caller, const message &request) { return answer(caller, request); });
     std::thread([this] { announce(); }).detach();
 }
 
@@ -412,38 +444,21 @@
     }
 }
 
-void worker::listen()
+bool worker::answer(connection &caller, const message &request)
 {
-    while (true) {
-        const int socket = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-        if (socket >= 0) {
-            std::thread([this, socket] { serve(socket); }).detach();
-        }
+    const std::string name = request.header("x-carawayloft-request-id");
+    if (request.header("x-carawayloft-expect-instance") != id()) {
+        return caller.send("HTTP/1.1 421 Misdirected Request\r\nX-Carawayloft-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     }
-}
-
-void worker::serve(int socket)
-{
-    connection caller(socket);
-    while (const std::optional<message> request = caller.receive(30.0)) {
-        const std::string name = request->header("x-carawayloft-request-id");
-        if (request->header("x-carawayloft-expect-instance") != id()) {
-            caller.send("HTTP/1.1 421 Misdirected Request\r\nX-Carawayloft-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-            continue;
-        }
-        const outcome what = m_decide(*request);
-        m_record.line("run " + name + " at " + id() + (what == outcome::LoseAnswer ? ", the answer is lost" : ""));
-        sleepFor(m_workSeconds);
-        if (what == outcome::LoseAnswer) {
-            caller.reset();
-            return;
-        }
-        const std::string answer
-            = "HTTP/1.1 200 OK\r\nX-Carawayloft-Request-Id: " + name + "\r\nX-Carawayloft-Response-Seal: seal-of-" + name + "\r\nContent-Length: 2\r\n\r\nok";
-        if (!caller.send(answer)) {
-            return;
-        }
+    const outcome what = m_decide(request);
+    m_record.line("run " + name + " at " + id() + (what == outcome::LoseAnswer ? ", the answer is lost" : ""));
+    sleepFor(m_workSeconds);
+    if (what == outcome::LoseAnswer) {
+        caller.reset();
+        return false;
     }
+    return caller.send("HTTP/1.1 200 OK\r\nX-Carawayloft-Request-Id: " + name + "\r\nX-Carawayloft-Response-Seal: seal-of-" + name
+                       + "\r\nContent-Length: 2\r\n\r\nok");
 }
 
 std::string configuration(int version, int timeLimitMs, int objectiveMs)
--- a/review/stand_in/stand_in.h
+++ b/review/stand_in/stand_in.h
@@ -109,6 +109,9 @@
     void startFront(int number);
     void killReplica(int number);
 
+    /** Whether the replica's process has ended since it was started. */
+    bool hasEnded(int number);
+
     /** Calls control as workers and operators do: any replica, redirects followed, the next one after a failure. */
     std::optional<message> callControl(const std::string &method, const std::string &path, const std::string &body);
 
@@ -125,6 +128,12 @@
     std::atomic<int> m_nextReplica = 1;
 };
 
+/**
+ * Serves requests at the address until the program ends, each connection on a thread of its own; a connection ends once
+ * @p answer returns false. Exits the program if the address cannot be listened on.
+ */
+void serve(deployment &system, record &out, const std::string &ip, std::function<bool(connection &, const message &)> answer);
+
 /** A plain worker of the service "records": announces itself, and answers each request as its owner says. */
 class worker
 {
@@ -145,8 +154,7 @@
 
 private:
     worker(deployment &system, record &out, int number, double workSeconds, std::function<outcome(const message &)> decide);
-    void serve(int socket);
-    void listen();
+    bool answer(connection &caller, const message &request);
     void announce();
 
     deployment &m_system;
@@ -154,7 +162,6 @@
     int m_number = 0;
     double m_workSeconds = 0;
     std::function<outcome(const message &)> m_decide;
-    int m_listener = -1;
     std::atomic<std::uint64_t> m_sequence = 0;
     std::atomic<bool> m_announces = true;
 };
