--- a/review/stand_in/forgotten_departure.cpp
+++ b/review/5/forgotten_departure.cpp
@@ -1,7 +1,7 @@
 // A worker says that it leaves, which control confirms. Then all control processes are killed and are back within a second, and a check-in that the
 // worker had sent before arrives late. The worker serves on for some seconds, as a leaving worker may, and must get nothing more.
 
-#include "stand_in.h"
+#include "review/stand_in.h"
 
 #include <algorithm>
 #include <unistd.h>
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for program in forgotten_departure missing_field; do
-    g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "target/review/$program" "review/stand_in/$program.cpp" review/stand_in/stand_in.cpp
+for program in 2/missing_field 5/forgotten_departure; do
+    g++ -std=c++20 -O2 -Wall -Wextra -pthread -I . -o "target/review/${program#*/}" "review/$program.cpp" review/stand_in.cpp
 done
--- a/review/stand_in/stand_in.cpp
+++ b/review/stand_in.cpp
@@ -1,4 +1,4 @@
-#include "stand_in.h"
+#include "review/stand_in.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
