Members leave a head that cannot be heard before they join elsewhere

Callers lost the streams of a group that was sound but for the cut.

Cause: a failed connection of control and the report of one gateway counted as the end of a server, so a group whose head was cut off was given up, and its members were free, 0.1 s after the cut.

Ruled out: a longer wait (a head that lost no member does not stall), and a refused connection as proof (a cut may refuse connections).

Change: group_closure owns the question. A member is free once its head has said that it does not serve, has restarted or has been replaced at its address, or once the member itself has confirmed the order to leave, which is new. Formation, closing, adoption and hand-over ask it and keep no clocks. An inherited group that does not form is closed, since it may have been opened. A group that is closed while it is being adopted is not used further in the same pass (it may be gone).

--- a/include/carawayloft/fleet/backend_registry.h
+++ b/include/carawayloft/fleet/backend_registry.h
@@ -72,9 +72,9 @@
         time_point heardAt;
         time_point coldUntil;
         time_point lostAt; /**< When the server was lost or left. */
-        time_point recoveredAt; /**< When the server was last heard again after a loss without a restart. */
         time_point limitNamedAt; /**< Time of the answer that the record's request limit is from. */
         bool confirmedDown = false; /**< While the server is lost or has left: whether it is known to be down. */
+        bool replaced = false; /**< A server that started later uses its address. */
         bool leaves = false; /**< It leaves, whatever its later announcements say. */
     };
 
--- a/include/carawayloft/fleet/engine_order.h
+++ b/include/carawayloft/fleet/engine_order.h
@@ -26,12 +26,17 @@
     bool preempt = false; /**< Aborts running requests instead of finishing them. */
 };
 
+/** Tells a member to leave its group, which stalls the group if it still serves. */
+struct leave_group {
+    group_epoch epoch;
+};
+
 /** Load a model's weights onto the host in the background. */
 struct stage_model {
     model_id model;
 };
 
-using engine_order = std::variant<join_group, open_group, close_group, stage_model>;
+using engine_order = std::variant<join_group, open_group, close_group, leave_group, stage_model>;
 
 enum class order_outcome : std::uint8_t {
     Begun,
--- /dev/null
+++ b/include/carawayloft/fleet/group_closure.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <carawayloft/fleet/backend_registry.h>
+
+#include <optional>
+#include <set>
+
+namespace carawayloft {
+
+/** What proves that the head of a group does not serve it. */
+enum class closure_proof : std::uint8_t {
+    None, /**< It may serve: silence proves nothing, since a head that is cut off goes on. */
+    Reported, /**< It announced another state after it had answered the order to close. */
+    Confirmed, /**< It answered that it has closed. */
+    Restarted, /**< It announced a later start. */
+    Replaced, /**< A server that started later uses its address. */
+};
+
+/** What control knows about the head of a group that it closes. */
+struct closing_head {
+    group_epoch epoch;
+    const backend_registry::entry *entry = nullptr; /**< Null if it has not announced itself. */
+    std::optional<std::int64_t> startedAt; /**< Its start when the group was formed, if known. */
+    std::optional<time_point> closeAnsweredAt; /**< When it last answered the order to close. */
+};
+
+/**
+ * Decides from evidence which servers are bound to a group that control has given up. A server is free once the head
+ * of its group is known not to serve, or once the server itself has left the group. There is no time limit: a group
+ * whose head cannot be heard serves for as long as its members stay.
+ */
+class group_closure
+{
+public:
+    /** Forgets all groups. */
+    void clear();
+
+    /** Takes the registry's latest reports; call it before the queries whenever the registry has changed. */
+    void observe(const backend_registry &registry);
+
+    /** The head is known not to serve the group, or was never told to. */
+    void recordEnd(group_epoch epoch);
+
+    /** The group was given up, but its head may serve. */
+    void recordAbandoned(group_epoch epoch);
+
+    /** The head answered at @p at that it does not serve the group. */
+    void recordHeadClosed(group_epoch epoch, time_point at);
+
+    /** The server answered at @p at that it has left the group. */
+    void recordLeft(const backend_id &backend, group_epoch epoch, time_point at);
+
+    closure_proof proofFor(const closing_head &head) const;
+
+    /** Whether the head has announced that it serves, and nothing later. */
+    bool serves(group_epoch epoch) const;
+
+    bool isAbandoned(group_epoch epoch) const;
+
+    /** Whether the server is in no group whose head may serve. */
+    bool isReleased(const backend_registry::entry &entry) const;
+
+private:
+    /** A server's answer that it has left a group. */
+    struct confirmed_leave {
+        group_epoch epoch;
+        time_point at;
+    };
+
+    bool hasLeft(const backend_registry::entry &entry) const;
+
+    std::set<group_epoch> m_ended;
+    std::set<group_epoch> m_abandoned;
+    std::set<group_epoch> m_serving; /**< Groups whose head announces that it serves. */
+    std::map<group_epoch, time_point> m_headClosedAt;
+    std::map<backend_id, confirmed_leave> m_left;
+};
+
+} // namespace carawayloft
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -3,6 +3,7 @@
 #include <carawayloft/fleet/backend_registry.h>
 #include <carawayloft/fleet/domain_pool.h>
 #include <carawayloft/fleet/engine_order.h>
+#include <carawayloft/fleet/group_closure.h>
 #include <carawayloft/fleet/model_allocation.h>
 
 #include <deque>
@@ -99,6 +100,7 @@
         time_point sentAt;
         bool sent = false;
         bool answered = false;
+        std::optional<time_point> answeredAt; /**< Of the last answer, whatever it said. */
     };
     struct managed_group {
         engine_group group;
@@ -106,8 +108,10 @@
         std::map<backend_id, tracked_order> joinOrders;
         tracked_order openOrder;
         tracked_order closeOrder;
+        bool inherited = false; /**< Formed by another leader, which mirrored it. */
         bool incomplete = false; /**< Adopted from the report of its head; some other members have not announced themselves yet. */
         bool preempt = false;
+        time_point preemptedAt; /**< When running requests were first given up, if preempt. */
         time_point phaseStartedAt; /**< Start of the current phase. */
         time_point deadline; /**< The group is dissolved if it is not ready by then. */
     };
@@ -128,6 +132,11 @@
         tracked_order order;
         time_point deadline;
     };
+    /** The order to a member to leave its group. */
+    struct departure_order {
+        group_epoch epoch;
+        tracked_order order;
+    };
     /** The group or backend server that an order is for. */
     struct order_target {
         group_epoch epoch; /**< Zero for no group. */
@@ -145,27 +154,32 @@
     void handle(const group_control_began &in);
     void handle(const group_control_ended &in);
     void handle(const order_finished &in);
+    void recordAnswer(const order_target &target, const order_finished &in);
 
     // Groups.
+    void recordStarts(managed_group &each);
     void reconcileGroup(managed_group &each);
+    void abandonFormation(managed_group &each, const char *reason);
     void reconcileForming(managed_group &each);
     void reconcileOpening(managed_group &each);
     void reconcileOpen(managed_group &each);
     void reconcileClosing(managed_group &each);
-    bool headHasClosed(const managed_group &each) const;
+    closure_proof proofOfClosure(const managed_group &each) const;
+    bool mayReachHead(const managed_group &each) const;
+    void abandon(managed_group &each, const char *reason);
+    void orderToLeave(const backend_id &member, group_epoch epoch);
     const char *missingMemberReason(const managed_group &each) const;
     bool hasDrainingMember(const managed_group &each) const;
     void close(managed_group &each, bool preempt, const char *reason);
     void setPhase(managed_group &each, group_phase phase, const char *reason);
-    void retire(group_epoch epoch, const char *reason);
-    void collectServingEpochs();
-    bool headMayStillServe(const backend_registry::entry &entry) const;
+    void startPreempting(managed_group &each);
+    void dissolve(group_epoch epoch, const char *reason);
 
     // Groups that another leader formed, adopted from the reports of their members.
     void adoptReportedGroups();
     void adopt(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
     managed_group &insertGroup(managed_group group);
-    void completeAdopted(managed_group &each);
+    bool completeAdopted(managed_group &each);
     const model_profile *findProfile(const service_id &service, const model_id &model) const;
 
     // Formation.
@@ -223,10 +237,8 @@
     std::map<backend_id, standby> m_standby;
     std::map<backend_id, staging> m_staging;
     std::map<order_id, order_target> m_pendingOrders;
-    std::set<group_epoch> m_retired;
-    std::map<group_epoch, backend_id> m_unconfirmedClosures; /**< Retired groups whose unreachable head never confirmed that it stopped, with that head. */
-    std::map<group_epoch, time_point> m_closedAt; /**< When heads confirmed that they stopped serving. */
-    std::set<group_epoch> m_servingEpochs; /**< Epochs whose head reports that it serves. */
+    group_closure m_closure;
+    std::map<backend_id, departure_order> m_departures; /**< Last order to leave to each server. */
     std::size_t m_registeredCount = 0; /**< Backend servers in the registry at the last check of their number. */
     time_point m_lastRegisteredAt; /**< When that number last changed. */
     std::map<group_epoch, time_point> m_unadoptedSince;
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -28,6 +28,7 @@
         const bool crashed = other.record.state != backend_state::Draining && !other.confirmedDown;
         other.record.state = backend_state::Left;
         other.confirmedDown = true;
+        other.replaced = true;
         other.lostAt = now;
         out.push_back({id, crashed});
     }
@@ -72,13 +73,11 @@
         const bool crashed = known != m_entries.end() && !sameStart && wasReady && !current.confirmedDown;
         out.push_back({record.backend, crashed});
     }
-    if (sameStart && current.record.state == backend_state::Lost) {
-        current.recoveredAt = now;
-    }
     current.record = std::move(record);
     current.heardAt = now;
     current.coldUntil = now + in.record.coldLeft;
     current.confirmedDown = false;
+    current.replaced = false;
     return out;
 }
 
@@ -139,7 +138,7 @@
     if (m_entries.contains(in.record.backend)) {
         return {};
     }
-    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, {}, false, false};
+    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, false, false, false};
     return {};
 }
 
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -7,14 +7,8 @@
 /** Delay before the open order is sent again to a head that was not ready. */
 static constexpr duration openResendDelay{150};
 
-/** Time allowed for a head that answered the close order to report the new state. */
-static constexpr duration closeResendDelay{120};
-
-/** Time allowed for a draining group to finish its requests before they are aborted. */
-static constexpr duration drainTimeout{2'500};
-
-/** Time for which an unreachable head may still serve after a member was lost: the engines' stall timeout and a margin. */
-static constexpr duration headStopTimeout{8'000};
+/** Time allowed for a head to open, or for an inherited group to form. */
+static constexpr duration openTimeout{8'000};
 
 /** Number of epochs reserved for each term. */
 static constexpr std::uint64_t epochsPerTerm = 1'000'000;
@@ -48,9 +42,8 @@
     m_standby.clear();
     m_staging.clear();
     m_pendingOrders.clear();
-    m_retired.clear();
-    m_unconfirmedClosures.clear();
-    m_closedAt.clear();
+    m_closure.clear();
+    m_departures.clear();
     m_unadoptedSince.clear();
     m_recentLoads.clear();
     m_rebalancedAt = m_now;
@@ -59,8 +52,9 @@
     for (const engine_group &each : in.inherited) {
         managed_group group;
         group.group = each;
+        group.inherited = true;
         group.phaseStartedAt = m_now;
-        group.deadline = m_now + headStopTimeout;
+        group.deadline = m_now + openTimeout;
         insertGroup(std::move(group));
     }
 }
@@ -86,19 +80,27 @@
     if (in.outcome == order_outcome::Unanswered) {
         return;
     }
+    recordAnswer(target, in);
+}
+
+/** Records the answer of an engine with the order that it answers. */
+void group_controller::recordAnswer(const order_target &target, const order_finished &in)
+{
     const auto recordOutcome = [&](tracked_order &slot) {
         if (slot.order == in.order) {
             // An engine that is not ready yet gets the order again.
             slot.answered = in.outcome != order_outcome::Conflict;
+            slot.answeredAt = m_now;
         }
     };
     if (const auto group = m_groups.find(target.epoch); group != m_groups.end()) {
         recordOutcome(group->second.openOrder);
         if (group->second.closeOrder.order == in.order) {
             group->second.closeOrder.answered = true;
+            group->second.closeOrder.answeredAt = m_now;
             // The answer is as good as an announcement, which may have gone to a former leader.
             if (group->second.preempt && in.outcome == order_outcome::Done) {
-                m_closedAt[target.epoch] = m_now;
+                m_closure.recordHeadClosed(target.epoch, m_now);
             }
         }
         if (const auto join = group->second.joinOrders.find(target.backend); join != group->second.joinOrders.end()) {
@@ -108,6 +110,12 @@
     if (const auto standby = m_standby.find(target.backend); standby != m_standby.end() && standby->second.epoch == target.epoch) {
         recordOutcome(standby->second.joinOrder);
     }
+    if (const auto leaving = m_departures.find(target.backend); leaving != m_departures.end() && leaving->second.order.order == in.order) {
+        recordOutcome(leaving->second.order);
+        if (in.outcome == order_outcome::Done) {
+            m_closure.recordLeft(target.backend, target.epoch, m_now);
+        }
+    }
     if (const auto staged = m_staging.find(target.backend); staged != m_staging.end() && target.epoch.value() == 0) {
         recordOutcome(staged->second.order);
     }
@@ -119,7 +127,7 @@
         return;
     }
     m_context.emplace(in.context);
-    collectServingEpochs();
+    m_closure.observe(m_context->registry);
     adoptReportedGroups();
     std::vector<group_epoch> epochs;
     epochs.reserve(m_groups.size());
@@ -178,28 +186,25 @@
     return m_groups.insert_or_assign(epoch, std::move(group)).first->second;
 }
 
-void group_controller::retire(group_epoch epoch, const char *reason)
+/** Records the starts of the members of an inherited group, so that a restart of one is noticed. */
+void group_controller::recordStarts(managed_group &each)
 {
-    for (const backend_id &member : m_groups.at(epoch).group.members) {
-        if (const auto found = m_memberOf.find(member); found != m_memberOf.end() && found->second == epoch) {
-            m_memberOf.erase(found);
+    std::vector<std::int64_t> startedAt;
+    for (const backend_id &member : each.group.members) {
+        if (const backend_registry::entry *entry = findEntry(member)) {
+            startedAt.push_back(entry->record.startedAt);
         }
     }
-    m_groups.erase(epoch);
-    m_retired.insert(epoch);
-    m_out.emplace_back(group_retired{epoch, reason});
-}
-
-void group_controller::close(managed_group &each, bool preempt, const char *reason)
-{
-    each.preempt = preempt;
-    each.closeOrder = {};
-    setPhase(each, group_phase::Closing, reason);
-    reconcileClosing(each);
+    if (startedAt.size() == each.group.members.size()) {
+        each.startedAt = std::move(startedAt);
+    }
 }
 
 void group_controller::reconcileGroup(managed_group &each)
 {
+    if (each.startedAt.empty()) {
+        recordStarts(each);
+    }
     switch (each.group.phase) {
     case group_phase::Forming:
         reconcileForming(each);
@@ -208,10 +213,9 @@
         reconcileOpening(each);
         break;
     case group_phase::Open:
-        if (each.incomplete) {
-            completeAdopted(each);
+        if (!each.incomplete || completeAdopted(each)) {
+            reconcileOpen(each);
         }
-        reconcileOpen(each);
         break;
     case group_phase::Closing:
         reconcileClosing(each);
@@ -242,15 +246,26 @@
     });
 }
 
+/** Gives up a group that is not open. The leader that this one inherited it from may have told it to open meanwhile. */
+void group_controller::abandonFormation(managed_group &each, const char *reason)
+{
+    if (each.inherited) {
+        close(each, true, reason);
+        return;
+    }
+    m_closure.recordEnd(each.group.epoch);
+    dissolve(each.group.epoch, reason);
+}
+
 void group_controller::reconcileForming(managed_group &each)
 {
     const group_epoch epoch = each.group.epoch;
     if (const char *missing = missingMemberReason(each)) {
-        retire(epoch, missing);
+        abandonFormation(each, missing);
         return;
     }
     if (hasDrainingMember(each) || m_now >= each.deadline) {
-        retire(epoch, "formation failed or timed out");
+        abandonFormation(each, "formation failed or timed out");
         return;
     }
     bool ready = true;
@@ -279,7 +294,7 @@
         setPhase(each, group_phase::Open, "the head serves");
         return;
     }
-    if (m_now >= each.phaseStartedAt + headStopTimeout) {
+    if (m_now >= each.phaseStartedAt + openTimeout) {
         close(each, true, "the head did not open in time");
         return;
     }
@@ -316,48 +331,4 @@
     }
 }
 
-/** Whether the head is certain to have stopped serving under this epoch. */
-bool group_controller::headHasClosed(const managed_group &each) const
-{
-    const backend_registry::entry *head = findEntry(each.group.head());
-    if (head == nullptr) {
-        return m_now >= each.phaseStartedAt + headStopTimeout;
-    }
-    const bool sameStart = each.startedAt.empty() || head->record.startedAt == each.startedAt.front();
-    if (!sameStart || head->confirmedDown) {
-        return true;
-    }
-    if (head->record.state == backend_state::Lost || head->record.state == backend_state::Left) {
-        return m_now >= each.phaseStartedAt + headStopTimeout;
-    }
-    const membership_report &report = head->record.membership;
-    if (m_closedAt.contains(each.group.epoch)) {
-        return true;
-    }
-    const bool serves = report.epoch == each.group.epoch && (report.state == membership_state::Open || report.state == membership_state::Closing);
-    return each.closeOrder.answered && !serves;
-}
-
-void group_controller::reconcileClosing(managed_group &each)
-{
-    if (headHasClosed(each)) {
-        const backend_registry::entry *head = findEntry(each.group.head());
-        if (head == nullptr || head->record.state == backend_state::Lost) {
-            m_unconfirmedClosures[each.group.epoch] = each.group.head();
-        }
-        retire(each.group.epoch, "the head stopped serving");
-        return;
-    }
-    if (!each.preempt && m_now >= each.phaseStartedAt + drainTimeout) {
-        each.preempt = true;
-        each.closeOrder = {};
-    }
-    const backend_registry::entry *head = findEntry(each.group.head());
-    if (head != nullptr && head->record.state != backend_state::Lost) {
-        // While the head reports that it serves, the order may have been lost after it was answered.
-        each.closeOrder.answered = each.closeOrder.answered && m_now < each.closeOrder.sentAt + closeResendDelay;
-        send(each.closeOrder, each.group.epoch, each.group.head(), close_group{each.group.epoch, each.preempt}, orderResendDelay);
-    }
-}
-
 } // namespace carawayloft
--- a/src/fleet_pipe/group_controller_adoption.cpp
+++ b/src/fleet_pipe/group_controller_adoption.cpp
@@ -10,39 +10,6 @@
 /** Time after which members of a group are free if its head has not announced itself. */
 static constexpr duration missingHeadTimeout{8'000};
 
-void group_controller::collectServingEpochs()
-{
-    m_servingEpochs.clear();
-    for (const auto &[id, entry] : m_context->registry.entries()) {
-        const membership_report &report = entry.record.membership;
-        const bool isHead = report.rank == 0 && (entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining);
-        const auto closed = m_closedAt.find(report.epoch);
-        const bool outdated = closed != m_closedAt.end() && entry.heardAt <= closed->second;
-        if (isHead && !outdated && (report.state == membership_state::Open || report.state == membership_state::Closing)) {
-            m_servingEpochs.insert(report.epoch);
-        }
-    }
-}
-
-/**
- * Whether the head of a retired group may still serve: the head was unreachable and so was this member, so
- * both may have been on the same side of a network partition.
- */
-bool group_controller::headMayStillServe(const backend_registry::entry &entry) const
-{
-    const group_epoch epoch = entry.record.membership.epoch;
-    const auto unsure = m_unconfirmedClosures.find(epoch);
-    if (m_servingEpochs.contains(epoch)) {
-        return true;
-    }
-    if (unsure == m_unconfirmedClosures.end() || m_now >= entry.recoveredAt + missingHeadTimeout) {
-        return false;
-    }
-    const backend_registry::entry *head = findEntry(unsure->second);
-    const bool isBack = head != nullptr && head->record.state != backend_state::Lost && head->heardAt >= entry.recoveredAt - missingHeadTimeout;
-    return !isBack;
-}
-
 void group_controller::adoptReportedGroups()
 {
     std::map<group_epoch, std::map<std::uint32_t, backend_id>> seen;
@@ -51,8 +18,7 @@
         const bool usable = entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining;
         const auto standby = m_standby.find(id);
         const bool isStandby = standby != m_standby.end() && standby->second.epoch == report.epoch;
-        const bool isOver = m_retired.contains(report.epoch) && !m_servingEpochs.contains(report.epoch);
-        if (usable && report.epoch.value() != 0 && !isStandby && !m_groups.contains(report.epoch) && !isOver) {
+        if (usable && !isStandby && !m_groups.contains(report.epoch) && !m_closure.isReleased(entry)) {
             seen[report.epoch].emplace(report.rank, id);
         }
     }
@@ -63,20 +29,19 @@
     }
 }
 
-/** Adopts a group that another leader formed, or frees its members once its head is certain not to serve. */
+/** Adopts a group that another leader formed, or releases its members. */
 void group_controller::adopt(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks)
 {
     const auto head = ranks.find(0);
-    const duration known = std::chrono::duration_cast<duration>(m_now - m_unadoptedSince.at(epoch));
     if (head == ranks.end()) {
-        if (known >= missingHeadTimeout) {
-            m_retired.insert(epoch);
+        if (std::chrono::duration_cast<duration>(m_now - m_unadoptedSince.at(epoch)) >= missingHeadTimeout) {
+            m_closure.recordEnd(epoch);
         }
         return;
     }
     const backend_record &record = findEntry(head->second)->record;
     if (record.membership.state != membership_state::Open && record.membership.state != membership_state::Closing) {
-        m_retired.insert(epoch);
+        m_closure.recordEnd(epoch);
         return;
     }
     managed_group group;
@@ -88,6 +53,10 @@
     managed_group &placed = insertGroup(std::move(group));
     // A head is only told to open once all members are ready, so traffic need not wait for their announcements.
     placed.incomplete = true;
+    if (m_closure.isAbandoned(epoch)) {
+        close(placed, true, "its members have left");
+        return;
+    }
     setPhase(placed, group_phase::Open, "adopted from the report of its head");
     completeAdopted(placed);
 }
@@ -105,8 +74,8 @@
     return nullptr;
 }
 
-/** Adds all members of an adopted group once they have announced themselves; closes the group at adoptionTimeout. */
-void group_controller::completeAdopted(managed_group &each)
+/** Adds all members of an adopted group once they have announced themselves; returns false if it closes the group, at adoptionTimeout. */
+bool group_controller::completeAdopted(managed_group &each)
 {
     std::map<std::uint32_t, backend_id> ranks;
     for (const auto &[id, entry] : m_context->registry.entries()) {
@@ -120,8 +89,9 @@
     if (!whole) {
         if (m_now >= each.phaseStartedAt + adoptionTimeout) {
             close(each, true, "adopted, but not all members announced themselves in time");
+            return false;
         }
-        return;
+        return true;
     }
     each.incomplete = false;
     each.group.members.clear();
@@ -132,6 +102,7 @@
         m_memberOf[member] = each.group.epoch;
     }
     setPhase(each, group_phase::Open, "adopted with all members");
+    return true;
 }
 
 } // namespace carawayloft
--- a/src/fleet_pipe/group_controller_formation.cpp
+++ b/src/fleet_pipe/group_controller_formation.cpp
@@ -106,8 +106,7 @@
     if (m_standby.contains(entry.record.backend) || findGroup(entry.record.backend) != nullptr) {
         return false;
     }
-    const group_epoch epoch = entry.record.membership.epoch;
-    return epoch.value() == 0 || (m_retired.contains(epoch) && !headMayStillServe(entry));
+    return m_closure.isReleased(entry);
 }
 
 std::optional<spare_backend> group_controller::spareFrom(const backend_registry::entry &entry) const
--- a/src/fleet_pipe/group_controller_weights.cpp
+++ b/src/fleet_pipe/group_controller_weights.cpp
@@ -95,7 +95,7 @@
         const bool gone = entry == nullptr || entry->record.state != backend_state::Ready || entry->record.startedAt != waiting.startedAt;
         const bool ready = !gone && entry->record.membership.epoch == waiting.epoch && entry->record.membership.state == membership_state::Ready;
         if (gone || ready || m_now >= waiting.deadline) {
-            m_retired.insert(waiting.epoch);
+            m_closure.recordEnd(waiting.epoch); // Such a group is never told to open.
             each = m_standby.erase(each);
             continue;
         }
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -60,6 +60,7 @@
                           },
                           [](const open_group &each) { return "open " + std::to_string(each.epoch.value()); },
                           [](const close_group &each) { return (each.preempt ? "preempt " : "close ") + std::to_string(each.epoch.value()); },
+                          [](const leave_group &each) { return "leave " + std::to_string(each.epoch.value()); },
                           [](const stage_model &each) { return "stage " + each.model.value(); },
                       },
                       order);
--- /dev/null
+++ b/tests/fleet/group_closure_test.cpp
@@ -0,0 +1,117 @@
+#include <carawayloft/fleet/group_closure.h>
+
+#include <gtest/gtest.h>
+
+using namespace carawayloft;
+
+namespace {
+
+constexpr group_epoch epoch(7);
+const time_point start(std::chrono::hours(1));
+
+/** A group of a head and one member, both known to the registry. */
+class GroupClosure : public ::testing::Test
+{
+protected:
+    GroupClosure()
+    {
+        announce("head", 0, membership_state::Open);
+        announce("member", 1, membership_state::Ready);
+    }
+
+    void announce(const std::string &id, std::uint32_t rank, membership_state state, std::int64_t startedAt = 1, group_epoch group = epoch)
+    {
+        now += duration(100);
+        backend_record record;
+        record.backend = backend_id(id);
+        record.address = endpoint("127.0.0.1:" + std::to_string(9'000 + rank));
+        record.startedAt = startedAt;
+        record.announcement = ++m_announcements;
+        record.membership = {group, rank, state};
+        registry.step(backend_check_in{record}, now);
+        closure.observe(registry);
+    }
+
+    const backend_registry::entry &entry(const std::string &id) const
+    {
+        return *registry.find(backend_id(id));
+    }
+
+    closure_proof proof(std::optional<time_point> closeAnsweredAt = {}) const
+    {
+        return closure.proofFor({epoch, &entry("head"), 1, closeAnsweredAt});
+    }
+
+    backend_registry registry;
+    group_closure closure;
+    time_point now = start;
+
+private:
+    std::uint64_t m_announcements = 0;
+};
+
+} // namespace
+
+TEST_F(GroupClosure, SilenceProvesNothingHoweverLong)
+{
+    registry.step(backend_failure{backend_id("head"), true}, now);
+    closure.observe(registry);
+    EXPECT_EQ(proof(), closure_proof::None);
+    EXPECT_EQ(proof(now), closure_proof::None);
+    closure.recordAbandoned(epoch);
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+}
+
+TEST_F(GroupClosure, AnUnknownHeadMayServe)
+{
+    EXPECT_EQ(closure.proofFor({epoch, nullptr, {}, {}}), closure_proof::None);
+}
+
+TEST_F(GroupClosure, OnlyWhatTheHeadAnnouncesAfterItsAnswerCounts)
+{
+    announce("head", 0, membership_state::Ready);
+    EXPECT_EQ(proof(now), closure_proof::None) << "the order may be executed later than it was answered";
+    const time_point answered = now;
+    announce("head", 0, membership_state::Ready);
+    EXPECT_EQ(proof(answered), closure_proof::Reported);
+}
+
+TEST_F(GroupClosure, AConfirmedClosureHoldsUntilTheHeadAnnouncesThatItServes)
+{
+    closure.recordHeadClosed(epoch, now);
+    EXPECT_EQ(proof(), closure_proof::Confirmed);
+    announce("head", 0, membership_state::Open);
+    EXPECT_EQ(proof(), closure_proof::None);
+}
+
+TEST_F(GroupClosure, ALaterStartOfTheHeadProvesItsEnd)
+{
+    announce("head", 0, membership_state::None, 2, group_epoch());
+    EXPECT_EQ(proof(), closure_proof::Restarted);
+}
+
+TEST_F(GroupClosure, ALaterServerAtTheAddressOfTheHeadProvesItsEnd)
+{
+    announce("other", 0, membership_state::None, 2, group_epoch());
+    EXPECT_EQ(proof(), closure_proof::Replaced);
+}
+
+TEST_F(GroupClosure, AMemberIsReleasedOnceItHasLeft)
+{
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    closure.recordLeft(backend_id("member"), epoch, now);
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+    announce("member", 1, membership_state::Ready); // A late join of the same epoch.
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    announce("member", 0, membership_state::None, 1, group_epoch());
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+}
+
+TEST_F(GroupClosure, AnEndIsRevokedWhileTheHeadAnnouncesThatItServes)
+{
+    announce("head", 0, membership_state::Ready);
+    closure.recordEnd(epoch);
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+    announce("head", 0, membership_state::Open);
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+}
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -228,6 +228,16 @@
     EXPECT_EQ(frontEnd().decodeOrderAnswer(500), order_outcome::Unanswered);
 }
 
+TEST(FrontEnd, EncodesTheOrderToLeaveAGroup)
+{
+    const http_call out = frontEnd().encodeOrder({order_id(1), backend_id("i-7"), endpoint("10.0.0.1:80"), log_term(5), leave_group{group_epoch(12)}});
+    const nlohmann::json body = nlohmann::json::parse(out.body);
+    EXPECT_EQ(body["op"], "leave");
+    EXPECT_EQ(body["group"], "g12");
+    EXPECT_EQ(body["epoch"], 12);
+    EXPECT_EQ(body["fence"], 5);
+}
+
 static std::vector<request_trait> traitsOf(const std::string &promptParts, const std::string &body = "x")
 {
     http_request request = makeRequest("POST", "/draft/x", body);
