A head that a new leader has not heard keeps its members until they have left

Cause: a new leader that knows nothing learns groups from check-ins, and freed the members of a group without a head 8 s after the first of them. The 8 s cover a head that lost a member; this head had lost none and went on for as long as the cut lasted.

Change: after that time the members are told to leave, and each is free by its own word. What a new leader does not know counts as open.

Failed before, run with the sources of: AHeadThatANewLeaderHasNotHeardKeepsItsMembersUntilTheyHaveLeft.

--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -178,6 +178,7 @@
     // Groups that another leader formed, adopted from the reports of their members.
     void adoptReportedGroups();
     void adopt(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
+    void releaseHeadless(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
     managed_group &insertGroup(managed_group group);
     bool completeAdopted(managed_group &each);
     const model_profile *findProfile(const service_id &service, const model_id &model) const;
--- a/src/fleet_pipe/group_controller_adoption.cpp
+++ b/src/fleet_pipe/group_controller_adoption.cpp
@@ -7,7 +7,7 @@
 /** Time allowed for all members of an adopted group to announce themselves. */
 static constexpr duration adoptionTimeout{2'000};
 
-/** Time after which members of a group are free if its head has not announced itself. */
+/** Time after which the members of a group leave it if its head has not announced itself. */
 static constexpr duration missingHeadTimeout{8'000};
 
 void group_controller::adoptReportedGroups()
@@ -34,9 +34,7 @@
 {
     const auto head = ranks.find(0);
     if (head == ranks.end()) {
-        if (std::chrono::duration_cast<duration>(m_now - m_unadoptedSince.at(epoch)) >= missingHeadTimeout) {
-            m_closure.recordEnd(epoch);
-        }
+        releaseHeadless(epoch, ranks);
         return;
     }
     const backend_record &record = findEntry(head->second)->record;
@@ -61,6 +59,19 @@
     completeAdopted(placed);
 }
 
+/** Has the members of a group leave it if its head has not announced itself for long, or if the group was given up before. */
+void group_controller::releaseHeadless(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks)
+{
+    const duration known = std::chrono::duration_cast<duration>(m_now - m_unadoptedSince.at(epoch));
+    if (known < missingHeadTimeout && !m_closure.isAbandoned(epoch)) {
+        return;
+    }
+    m_closure.recordAbandoned(epoch);
+    for (const auto &[rank, member] : ranks) {
+        orderToLeave(member, epoch);
+    }
+}
+
 const model_profile *group_controller::findProfile(const service_id &service, const model_id &model) const
 {
     for (const service_settings &each : m_context->services) {
--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -80,6 +80,21 @@
     EXPECT_EQ(fleet.open(largeModel).size(), 1U);
 }
 
+TEST(GroupController, AHeadThatANewLeaderHasNotHeardKeepsItsMembersUntilTheyHaveLeft)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const engine_group group = fleet.open(largeModel).front();
+    fleet.registry = backend_registry();
+    fleet.engines.at(group.head()).reportsToControl = false;
+    fleet.engines.at(group.head()).takesOrders = false;
+    fleet.lead(3);
+    fleet.settle(60); // Longer than the time that a head is waited for; the engines check every join.
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+    EXPECT_EQ(fleet.engines.at(group.head()).record.membership.state, membership_state::Open);
+}
+
 TEST(GroupController, AHeadThatDoesNotAnswerWhileItIsCutOffUnnoticedKeepsItsMembersUntilTheyHaveLeft)
 {
     engine_fleet fleet(1, 5, makeEngine(3, 4));
