A departure is in the replicated log before it is confirmed

Cause: what the registry knows is in memory and mirrored to replicas that were killed as well. Nothing was stored before the confirmation.

Change: record_departure, a command of the replicated log, names the server and the latest start that it is about; the confirmation waits for its commit. Every later leader applies it before it leads, to check-ins and to mirrored records. The latest 1,024 are kept. Weighed: learning from gateways (they may be restarted as well), and a store beside the log.

--- a/include/carawayloft/control/fleet_command.h
+++ b/include/carawayloft/control/fleet_command.h
@@ -172,6 +172,16 @@
     }
 };
 
+/** Remembers that a backend server leaves. */
+struct record_departure {
+    departure_record departure;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"departure", &record_departure::departure});
+    }
+};
+
 /** Any change of the fleet configuration. Its index is its type in the log, so new types go to the end. */
 using fleet_change = std::variant<put_zone,
                                   put_host,
@@ -188,7 +198,8 @@
                                   advance_plan,
                                   put_configuration,
                                   quarantine_trait,
-                                  release_trait>;
+                                  release_trait,
+                                  record_departure>;
 
 /** A change with the sender's request id, for deduplication, and the revision that the sender based it on. */
 struct fleet_command {
--- a/include/carawayloft/control/fleet_state.h
+++ b/include/carawayloft/control/fleet_state.h
@@ -44,6 +44,7 @@
     std::string lastAuthor;
     configuration_record configuration;
     std::vector<quarantine_record> quarantine;
+    std::vector<departure_record> departures; /**< Oldest first. */
 
     static constexpr auto fields()
     {
@@ -58,7 +59,8 @@
                           field{"last_operator_change", &fleet_snapshot::lastOperatorChange},
                           field{"last_author", &fleet_snapshot::lastAuthor},
                           field{"configuration", &fleet_snapshot::configuration},
-                          field{"quarantine", &fleet_snapshot::quarantine});
+                          field{"quarantine", &fleet_snapshot::quarantine},
+                          field{"departures", &fleet_snapshot::departures});
     }
 };
 
@@ -117,6 +119,15 @@
         return m_quarantine;
     }
 
+    /** The latest announced departures of backend servers, oldest first. */
+    const std::deque<departure_record> &departures() const
+    {
+        return m_departures;
+    }
+
+    /** Whether a departure of the server that covers this start is recorded. */
+    bool hasDeparted(const departure_record &departure) const;
+
     /** The group that @p host is assigned to, or nullptr. */
     const group_record *groupOf(const host_id &host) const;
     const host_record *host(const host_id &host) const;
@@ -141,6 +152,7 @@
     status change(const put_configuration &change, revision at);
     status change(const quarantine_trait &change, revision at);
     status change(const release_trait &change, revision at);
+    status change(const record_departure &change, revision at);
 
     result<group_record *> findGroup(group_id group, group_epoch epoch);
     result<plan_record *> findPlan(plan_id plan);
@@ -160,6 +172,7 @@
     std::map<plan_id, plan_record> m_plans;
     configuration_record m_configuration;
     std::map<service_trait, quarantine_record> m_quarantine;
+    std::deque<departure_record> m_departures;
     std::map<command_id, command_result> m_commandResults;
     std::deque<command_id> m_commandResultOrder;
 };
--- a/include/carawayloft/control/records.h
+++ b/include/carawayloft/control/records.h
@@ -144,6 +144,19 @@
     }
 };
 
+/** A backend server that has announced that it leaves. It gets no new work, whatever announcements of that run still arrive. */
+struct departure_record {
+    backend_id backend;
+    std::int64_t startedAt = 0; /**< Latest start of the server that this is about, by the wall clock in milliseconds. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"backend", &departure_record::backend}, field{"started_at", &departure_record::startedAt});
+    }
+
+    friend bool operator==(const departure_record &, const departure_record &) = default;
+};
+
 enum class step_kind : std::uint8_t {
     OpenZone, /**< Let placement fill an arriving availability zone. */
     AwaitCapacity, /**< Wait until the groups that replace those of the leaving zone are serving. */
--- a/include/carawayloft/fleet/backend_registry.h
+++ b/include/carawayloft/fleet/backend_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/control/records.h>
 #include <carawayloft/core/filter.h>
 #include <carawayloft/fleet/fleet_records.h>
 
@@ -32,6 +33,11 @@
     std::int64_t startedAt = 0; /**< By the wall clock in milliseconds. */
 };
 
+/** The departures that the replicated log remembers. */
+struct departures_recorded {
+    std::vector<departure_record> departures;
+};
+
 /** The retention time of the record of a departed backend server has passed. */
 struct backend_record_expired {
     backend_id backend;
@@ -49,8 +55,14 @@
     time_point at;
 };
 
-using backend_registry_input
-    = std::variant<backend_check_in, backend_departure, backend_leaving, backend_failure, backend_record_expired, mirrored_backend_record, request_limit_named>;
+using backend_registry_input = std::variant<backend_check_in,
+                                            backend_departure,
+                                            backend_leaving,
+                                            departures_recorded,
+                                            backend_failure,
+                                            backend_record_expired,
+                                            mirrored_backend_record,
+                                            request_limit_named>;
 
 // Outputs.
 
@@ -92,13 +104,17 @@
     std::vector<output> handle(const backend_check_in &in, time_point now);
     std::vector<output> handle(const backend_departure &in, time_point now);
     std::vector<output> handle(const backend_leaving &in, time_point now);
+    std::vector<output> handle(const departures_recorded &in, time_point now);
     std::vector<output> handle(const backend_failure &in, time_point now);
     std::vector<output> handle(const backend_record_expired &in, time_point now);
     std::vector<output> handle(const mirrored_backend_record &in, time_point now);
     std::vector<output> handle(const request_limit_named &in, time_point now);
     bool supersedeOlderAtAddress(const backend_record &record, time_point now, std::vector<output> &out);
 
+    bool hasDeparted(const backend_record &record) const;
+
     std::map<backend_id, entry> m_entries;
+    std::map<backend_id, std::int64_t> m_departures; /**< Latest start of each server that left, by the wall clock in milliseconds. */
 };
 
 static_assert(filter<backend_registry>);
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -55,6 +55,7 @@
     void handle(const services_changed &in);
     void handle(const zones_out_changed &in);
     void handle(const quarantined_traits_changed &in);
+    void handle(const departures_changed &in);
     void handle(const check_in_received &in);
     void handle(const departure_received &in);
     void handle(const gateway_reported &in);
@@ -102,6 +103,7 @@
     request_shares m_requestShares;
     crash_correlator m_correlator;
     std::set<service_trait> m_quarantinedTraits;
+    std::vector<departure_record> m_departures;
     std::vector<service_settings> m_services;
     std::set<availability_zone_id> m_zonesOut;
     std::map<link_id, gateway> m_gateways;
--- a/include/carawayloft/fleet/fleet_pipe_messages.h
+++ b/include/carawayloft/fleet/fleet_pipe_messages.h
@@ -33,6 +33,11 @@
     std::set<service_trait> traits;
 };
 
+/** The departures in the replicated state. */
+struct departures_changed {
+    std::vector<departure_record> departures;
+};
+
 struct check_in_received {
     backend_check_in announcement;
 };
@@ -68,6 +73,7 @@
                                       services_changed,
                                       zones_out_changed,
                                       quarantined_traits_changed,
+                                      departures_changed,
                                       check_in_received,
                                       departure_received,
                                       gateway_reported,
--- a/src/control_pipe/fleet_state.cpp
+++ b/src/control_pipe/fleet_state.cpp
@@ -11,6 +11,9 @@
 /** Number of traits in quarantine; a fleet in which that many traits crash servers has another fault. */
 static constexpr std::size_t maxQuarantined = 256;
 
+/** Number of departures remembered; the oldest are dropped first. An announcement of a server that left is late by seconds at most. */
+static constexpr std::size_t maxDepartures = 1'024;
+
 static status reject(error_kind kind, std::string what, std::string remedy)
 {
     return error{kind, std::move(what), std::move(remedy)};
@@ -335,6 +338,26 @@
     return {};
 }
 
+bool fleet_state::hasDeparted(const departure_record &departure) const
+{
+    return std::any_of(m_departures.begin(), m_departures.end(), [&](const departure_record &each) {
+        return each.backend == departure.backend && each.startedAt >= departure.startedAt;
+    });
+}
+
+status fleet_state::change(const record_departure &change, revision)
+{
+    if (hasDeparted(change.departure)) {
+        return {};
+    }
+    std::erase_if(m_departures, [&](const departure_record &each) { return each.backend == change.departure.backend; });
+    m_departures.push_back(change.departure);
+    if (m_departures.size() > maxDepartures) {
+        m_departures.pop_front();
+    }
+    return {};
+}
+
 bool fleet_state::restore(const fleet_snapshot &snapshot)
 {
     if (snapshot.at < m_at) {
@@ -348,6 +371,7 @@
     for (const quarantine_record &each : snapshot.quarantine) {
         m_quarantine.emplace(service_trait{each.service, each.trait}, each);
     }
+    m_departures.assign(snapshot.departures.begin(), snapshot.departures.end());
     for (const zone_record &each : snapshot.zones) {
         m_zones.emplace(each.zone, each);
     }
@@ -388,7 +412,8 @@
                             m_lastOperatorChange,
                             m_lastAuthor,
                             m_configuration,
-                            valuesOf(m_quarantine)};
+                            valuesOf(m_quarantine),
+                            {m_departures.begin(), m_departures.end()}};
     for (const command_id &each : m_commandResultOrder) {
         snapshot.commandResults.push_back(m_commandResults.at(each));
     }
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -115,6 +115,8 @@
         return {"trait_quarantined", severity::Error};
     case event_number::TraitReleased:
         return {"trait_released", severity::Info};
+    case event_number::DepartureRecorded:
+        return {"departure_recorded", severity::Info};
     case event_number::RoleChanged:
         return {"role_changed", severity::Info};
     case event_number::ChangeAccepted:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -61,6 +61,7 @@
     TraitSuspected = 329,
     TraitQuarantined = 330,
     TraitReleased = 331,
+    DepartureRecorded = 332,
     RoleChanged = 400,
     ChangeAccepted = 401,
     ChangeRefused = 402,
--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -60,7 +60,7 @@
     }
     entry &current = m_entries[in.record.backend];
     backend_record record = in.record;
-    current.leaves = sameStart && current.leaves;
+    current.leaves = (sameStart && current.leaves) || hasDeparted(record);
     if (current.leaves && record.state == backend_state::Ready) {
         record.state = backend_state::Draining;
     }
@@ -106,6 +106,30 @@
     return {{in.backend}};
 }
 
+/** Whether the run of the server that the record is about has announced its departure. */
+bool backend_registry::hasDeparted(const backend_record &record) const
+{
+    const auto departed = m_departures.find(record.backend);
+    return departed != m_departures.end() && record.startedAt <= departed->second;
+}
+
+std::vector<backend_registry::output> backend_registry::handle(const departures_recorded &in, time_point)
+{
+    m_departures.clear();
+    for (const departure_record &each : in.departures) {
+        m_departures.emplace(each.backend, each.startedAt);
+    }
+    std::vector<output> out;
+    for (auto &[id, each] : m_entries) {
+        each.leaves = each.leaves || hasDeparted(each.record);
+        if (each.leaves && each.record.state == backend_state::Ready) {
+            each.record.state = backend_state::Draining;
+            out.push_back({id});
+        }
+    }
+    return out;
+}
+
 std::vector<backend_registry::output> backend_registry::handle(const backend_failure &in, time_point now)
 {
     const auto known = m_entries.find(in.backend);
@@ -138,7 +162,11 @@
     if (m_entries.contains(in.record.backend)) {
         return {};
     }
-    m_entries[in.record.backend] = {in.record, now, now + in.record.coldLeft, now, {}, false, false, false};
+    entry &placed = m_entries[in.record.backend];
+    placed = {in.record, now, now + in.record.coldLeft, now, {}, false, false, hasDeparted(in.record)};
+    if (placed.leaves && placed.record.state == backend_state::Ready) {
+        placed.record.state = backend_state::Draining;
+    }
     return {};
 }
 
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -60,6 +60,7 @@
     }
     m_leadsSince = m_now;
     m_registry = backend_registry();
+    m_registry.step(departures_recorded{m_departures}, m_now);
     m_correlator = crash_correlator();
     stepCorrelator(quarantine_changed{m_quarantinedTraits});
     const publish_fleet inherited = m_mirror.snapshot(m_now);
@@ -90,6 +91,12 @@
     stepCorrelator(quarantine_changed{in.traits});
 }
 
+void fleet_pipe::handle(const departures_changed &in)
+{
+    m_departures = in.departures;
+    stepRegistry(departures_recorded{in.departures}, "departure recorded");
+}
+
 void fleet_pipe::handle(const check_in_received &in)
 {
     const bool known
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -203,7 +203,8 @@
                                                                                        "advance_plan",
                                                                                        "put_configuration",
                                                                                        "quarantine_trait",
-                                                                                       "release_trait"};
+                                                                                       "release_trait",
+                                                                                       "record_departure"};
     return names[change.index()];
 }
 
@@ -240,6 +241,9 @@
             [&](const release_trait &change) {
                 logEvent(event_number::TraitReleased, {{"service", change.subject.service}, {"trait", change.subject.trait}, {"author", out.command.author}});
             },
+            [&](const record_departure &change) {
+                logEvent(event_number::DepartureRecorded, {{"backend", change.departure.backend}, {"started_at", change.departure.startedAt}});
+            },
             [](const auto &) {},
         },
         out.command.change);
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -133,6 +133,7 @@
     void serveControlRequest(const zone_change &request, const std::shared_ptr<http_exchange> &exchange);
     void serveControlRequest(const backend_check_in &request, const std::shared_ptr<http_exchange> &exchange);
     void serveControlRequest(const backend_departure &request, const std::shared_ptr<http_exchange> &exchange);
+    void confirmDeparture(const departure_record &departure, const http_response &response, const std::shared_ptr<http_exchange> &exchange);
 
     // The operators' HTTP interface.
     void serve(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
@@ -176,6 +177,7 @@
     configuration_version m_configurationVersion;
     std::set<availability_zone_id> m_zonesOutOfService;
     std::set<service_trait> m_quarantinedTraits;
+    std::vector<departure_record> m_departures;
     revision m_publishedRevision; /**< All changes up to this revision have been sent to the subscribers. */
     peer_links m_peers;
     std::unique_ptr<http_client> m_engineClient;
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -6,8 +6,10 @@
 #include "ends/connection_probe.h"
 #include "ends/event_log.h"
 #include "tasks/stored_configuration.h"
+#include "tasks/task_identity.h"
 
 #include <carawayloft/core/overloaded.h>
+#include <carawayloft/fleet/departures.h>
 
 namespace carawayloft {
 
@@ -184,7 +186,7 @@
     return m_isFleetLeader && !m_stopping && !isWaitingForDisk() && m_pipe->log().holdsLeaderLease(monotonicNow());
 }
 
-/** Passes changes of services, availability zones and quarantines in the replicated state to the fleet pipe. */
+/** Passes changes of services, availability zones, quarantines and departures in the replicated state to the fleet pipe. */
 void control_task::updateFleetConfiguration()
 {
     const fleet_state &state = m_pipe->fleet();
@@ -215,6 +217,11 @@
         m_quarantinedTraits = quarantined;
         runFleet(quarantined_traits_changed{quarantined});
     }
+    const std::deque<departure_record> &departures = state.departures();
+    if (!std::equal(departures.begin(), departures.end(), m_departures.begin(), m_departures.end())) {
+        m_departures.assign(departures.begin(), departures.end());
+        runFleet(departures_changed{m_departures});
+    }
 }
 
 std::vector<endpoint> control_task::replicaFrameEndpoints() const
@@ -300,7 +307,12 @@
         return;
     }
     runFleet(check_in_received{request});
-    exchange->respond(m_frontEnd->encodeCheckInAccepted({m_settings.replica->http}));
+    const http_response accepted = m_frontEnd->encodeCheckInAccepted({m_settings.replica->http});
+    if (const std::optional<departure_record> departure = announcedDeparture(request)) {
+        confirmDeparture(*departure, accepted, exchange);
+    } else {
+        exchange->respond(accepted);
+    }
 }
 
 void control_task::serveControlRequest(const backend_departure &request, const std::shared_ptr<http_exchange> &exchange)
@@ -309,8 +321,20 @@
         exchange->respond({serviceUnavailable, {}, {}});
         return;
     }
+    const departure_record departure = announcedDeparture(request, m_fleet.registry(), wallNow());
     runFleet(departure_received{request});
-    exchange->respond({200, {}, {}});
+    confirmDeparture(departure, {200, {}, {}}, exchange);
+}
+
+/** Responds once the departure is in the replicated log, so that no later leader takes the server for a ready one. */
+void control_task::confirmDeparture(const departure_record &departure, const http_response &response, const std::shared_ptr<http_exchange> &exchange)
+{
+    if (m_pipe->fleet().hasDeparted(departure)) {
+        exchange->respond(response);
+        return;
+    }
+    const operator_request_token token = addWaitingRequest(exchange, [response](revision) { return response; });
+    run(operator_change{token, fleet_command{{}, "backend server", {}, record_departure{departure}}, true});
 }
 
 } // namespace carawayloft
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -180,6 +180,7 @@
         m_metrics.setGauge("carawayloft_claims", {}, static_cast<double>(m_pipe->claims().size()));
         m_metrics.setGauge("carawayloft_subscribers", {}, static_cast<double>(m_pipe->published().subscribers()));
         m_metrics.setGauge("carawayloft_quarantined_traits", {}, static_cast<double>(m_pipe->fleet().quarantine().size()));
+        m_metrics.setGauge("carawayloft_departures", {}, static_cast<double>(m_pipe->fleet().departures().size()));
         for (const auto &[service, measured] : m_pipe->measured().services()) {
             const std::string label = "service=\"" + service.value() + "\"";
             m_metrics.setGauge("carawayloft_groups", label, static_cast<double>(measured.groups));
--- a/tests/control/fleet_state_test.cpp
+++ b/tests/control/fleet_state_test.cpp
@@ -214,3 +214,37 @@
     RC_ASSERT(assignmentsOf(copy) == reference);
     RC_ASSERT(copy.at() == fleet.at());
 }
+
+TEST(FleetStateDepartures, RemembersDeparturesAcrossSnapshots)
+{
+    fleet_state state;
+    state.apply(fleet_command{{}, "backend server", {}, record_departure{{backend_id("a"), 5}}}, revision(1));
+    fleet_state restored;
+    restored.restore(state.snapshot());
+    EXPECT_TRUE(restored.hasDeparted({backend_id("a"), 5}));
+    EXPECT_TRUE(restored.hasDeparted({backend_id("a"), 4})) << "an earlier run";
+    EXPECT_FALSE(restored.hasDeparted({backend_id("a"), 6})) << "a later run";
+    EXPECT_FALSE(restored.hasDeparted({backend_id("b"), 5}));
+}
+
+TEST(FleetStateDepartures, ALaterDepartureOfTheSameServerReplacesTheEarlierOne)
+{
+    fleet_state state;
+    state.apply(fleet_command{{}, "backend server", {}, record_departure{{backend_id("a"), 5}}}, revision(1));
+    state.apply(fleet_command{{}, "backend server", {}, record_departure{{backend_id("a"), 9}}}, revision(2));
+    state.apply(fleet_command{{}, "backend server", {}, record_departure{{backend_id("a"), 5}}}, revision(3));
+    ASSERT_EQ(state.departures().size(), 1U);
+    EXPECT_EQ(state.departures().front().startedAt, 9);
+}
+
+TEST(FleetStateDepartures, DropsTheOldestDeparturesFirst)
+{
+    fleet_state state;
+    constexpr std::uint64_t recorded = 3'000; // More than are remembered.
+    for (std::uint64_t i = 1; i <= recorded; ++i) {
+        state.apply(fleet_command{{}, "backend server", {}, record_departure{{backend_id("e" + std::to_string(i)), 1}}}, revision(i));
+    }
+    EXPECT_LT(state.departures().size(), recorded);
+    EXPECT_FALSE(state.hasDeparted({backend_id("e1"), 1}));
+    EXPECT_TRUE(state.hasDeparted({backend_id("e" + std::to_string(recorded)), 1}));
+}
--- a/tests/fleet/backend_registry_test.cpp
+++ b/tests/fleet/backend_registry_test.cpp
@@ -167,3 +167,30 @@
     EXPECT_TRUE(registry.step(backend_leaving{backend_id("a"), 1}, start).empty());
     EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
 }
+
+TEST(BackendRegistry, ALateAnnouncementDoesNotUndoADepartureThatTheLogRemembers)
+{
+    backend_registry registry;
+    registry.step(departures_recorded{{{backend_id("a"), 1}}}, start);
+    registry.step(makeCheckIn("a", 1, 5), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
+    registry.step(makeCheckIn("a", 2, 1), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Ready);
+}
+
+TEST(BackendRegistry, AMirroredRecordDoesNotUndoADepartureThatTheLogRemembers)
+{
+    backend_registry registry;
+    registry.step(departures_recorded{{{backend_id("a"), 1}}}, start);
+    registry.step(mirrored_backend_record{makeCheckIn("a", 1, 5).record}, start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
+}
+
+TEST(BackendRegistry, ADepartureThatIsRecordedLaterTakesWorkFromAReadyServer)
+{
+    backend_registry registry;
+    registry.step(makeCheckIn("a", 1, 5), start);
+    EXPECT_EQ(registry.step(departures_recorded{{{backend_id("a"), 1}}}, start).size(), 1U);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
+    EXPECT_TRUE(registry.step(departures_recorded{{{backend_id("a"), 1}}}, start).empty());
+}
--- a/tests/process/platform_core_test.cpp
+++ b/tests/process/platform_core_test.cpp
@@ -1,5 +1,7 @@
 #include "process/platform_processes.h"
 
+#include <nlohmann/json.hpp>
+
 #include <array>
 #include <csignal>
 #include <sys/resource.h>
@@ -66,6 +68,54 @@
         return held;
     }
 
+    /** Sends a check-in or a departure of a backend server to every replica until one confirms it. */
+    bool confirmed(const std::string &method, const std::string &body = {}) const
+    {
+        for (int host = 1; host <= replicas; ++host) {
+            http_question question;
+            question.method = method;
+            question.url = "http://" + coreAddress(host) + "/-/instances/i-1";
+            question.body = body;
+            question.timeoutMs = 2'000;
+            if (ask(question).status == 200) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    std::string checkIn(const std::string &state, int sequence, std::int64_t startedAt = 1'700'000'000'000) const
+    {
+        return nlohmann::json{
+            {"service", "records"}, {"address", net() + "50:9000"}, {"zone", "z-1"}, {"state", state}, {"sequence", sequence}, {"born", startedAt}}
+            .dump();
+    }
+
+    void restartAll()
+    {
+        for (const std::unique_ptr<child> &each : m_processes) {
+            each->signal(SIGKILL);
+        }
+        for (const std::unique_ptr<child> &each : m_processes) {
+            each->kill();
+        }
+        for (int host = 1; host <= replicas; ++host) {
+            m_logStart.at(host - 1) = m_processes.at(host - 1)->log().size();
+            startReplica(host, "false");
+        }
+    }
+
+    /** Whether a replica has noted the server in this state since the last restart. */
+    bool isNoted(const std::string &state) const
+    {
+        for (std::size_t i = 0; i < m_processes.size(); ++i) {
+            if (m_processes[i]->log().find(R"("backend":"i-1","state":")" + state, m_logStart[i]) != std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     int leaderHost() const
     {
         int found = 0;
@@ -79,6 +129,7 @@
     }
 
     std::array<std::unique_ptr<child>, replicas> m_processes;
+    std::array<std::size_t, replicas> m_logStart{}; /**< Bytes in the log of each replica at its last restart. */
 };
 
 } // namespace
@@ -163,3 +214,25 @@
     EXPECT_NE(leader->log().find("disk_writable"), std::string::npos);
     EXPECT_EQ(leader->log().find("replica_stopped"), std::string::npos);
 }
+
+TEST_F(PlatformCore, AConfirmedDepartureIsNotForgottenWhenAllReplicasAreKilled)
+{
+    await("the server is known", [this] { return confirmed("PUT", checkIn("ready", 1)); });
+    ASSERT_TRUE(confirmed("DELETE"));
+    restartAll();
+    await("a late check-in arrives", [this] { return confirmed("PUT", checkIn("ready", 2)); });
+    await("the server leaves", [this] { return isNoted("draining"); });
+    EXPECT_FALSE(isNoted("ready"));
+    await("another run of it is heard", [this] { return confirmed("PUT", checkIn("ready", 1, 1'700'000'100'000)); });
+    await("that one is ready", [this] { return isNoted("ready"); });
+}
+
+TEST_F(PlatformCore, AServerThatWasConfirmedToDrainIsNotReadyAgainWhenAllReplicasAreKilled)
+{
+    await("the server is known", [this] { return confirmed("PUT", checkIn("ready", 1)); });
+    ASSERT_TRUE(confirmed("PUT", checkIn("draining", 3)));
+    restartAll();
+    await("a late check-in arrives", [this] { return confirmed("PUT", checkIn("ready", 2)); });
+    await("the server drains", [this] { return isNoted("draining"); });
+    EXPECT_FALSE(isNoted("ready"));
+}
