--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -54,6 +54,12 @@
     }
 
 private:
+    /** Time for which a server or group is avoided after a connection failure or a rejection without running the request. */
+    static constexpr duration avoidanceTime{400};
+
+    /** Maximum calls for one request, including those that servers rejected without running it. */
+    static constexpr std::uint32_t maxSends = 4;
+
     /** A request of a caller that has not been answered yet. */
     struct request_context {
         gateway_request request;
--- a/src/control_pipe/fleet_state.cpp
+++ b/src/control_pipe/fleet_state.cpp
@@ -19,17 +19,6 @@
     return error{kind, std::move(what), std::move(remedy)};
 }
 
-template<class Key, class Record>
-static std::vector<Record> valuesOf(const std::map<Key, Record> &records)
-{
-    std::vector<Record> values;
-    values.reserve(records.size());
-    for (const auto &[key, record] : records) {
-        values.push_back(record);
-    }
-    return values;
-}
-
 result<revision> fleet_state::apply(const fleet_command &command, revision at)
 {
     if (const auto known = m_commandResults.find(command.command); !command.command.value().empty() && known != m_commandResults.end()) {
@@ -358,68 +347,6 @@
     return {};
 }
 
-bool fleet_state::restore(const fleet_snapshot &snapshot)
-{
-    if (snapshot.at < m_at) {
-        return false;
-    }
-    *this = fleet_state();
-    m_at = snapshot.at;
-    m_lastOperatorChange = snapshot.lastOperatorChange;
-    m_lastAuthor = snapshot.lastAuthor;
-    m_configuration = snapshot.configuration;
-    for (const quarantine_record &each : snapshot.quarantine) {
-        m_quarantine.emplace(service_trait{each.service, each.trait}, each);
-    }
-    m_departures.assign(snapshot.departures.begin(), snapshot.departures.end());
-    for (const zone_record &each : snapshot.zones) {
-        m_zones.emplace(each.zone, each);
-    }
-    for (const host_record &each : snapshot.hosts) {
-        m_hosts.emplace(each.host, each);
-    }
-    for (const group_record &each : snapshot.groups) {
-        m_groups.emplace(each.group, each);
-        for (const host_id &host : each.hosts) {
-            m_assignments.emplace(host, each.group);
-        }
-    }
-    for (const service_record &each : snapshot.services) {
-        m_services.emplace(each.service, each);
-    }
-    for (const account_record &each : snapshot.accounts) {
-        m_accounts.emplace(each.account, each);
-    }
-    for (const plan_record &each : snapshot.plans) {
-        m_plans.emplace(each.plan, each);
-    }
-    for (const command_result &each : snapshot.commandResults) {
-        recordResult(each);
-    }
-    return true;
-}
-
-fleet_snapshot fleet_state::snapshot() const
-{
-    fleet_snapshot snapshot{m_at,
-                            valuesOf(m_zones),
-                            valuesOf(m_hosts),
-                            valuesOf(m_groups),
-                            valuesOf(m_services),
-                            valuesOf(m_accounts),
-                            valuesOf(m_plans),
-                            {},
-                            m_lastOperatorChange,
-                            m_lastAuthor,
-                            m_configuration,
-                            valuesOf(m_quarantine),
-                            {m_departures.begin(), m_departures.end()}};
-    for (const command_id &each : m_commandResultOrder) {
-        snapshot.commandResults.push_back(m_commandResults.at(each));
-    }
-    return snapshot;
-}
-
 const group_record *fleet_state::groupOf(const host_id &host) const
 {
     const auto assigned = m_assignments.find(host);
--- /dev/null
+++ b/src/gateway_pipe/gateway_pipe_answers.cpp
@@ -0,0 +1,189 @@
+#include <carawayloft/gateway/gateway_pipe.h>
+
+#include <carawayloft/core/http_status.h>
+
+#include <algorithm>
+
+// What backend servers answer, and what of it reaches the caller.
+
+namespace carawayloft {
+
+/** Whether callers take the status as proof that the request has not run. */
+static bool impliesNotExecuted(std::uint32_t status)
+{
+    return status == http_status::requestTimeout || status == http_status::misdirectedRequest || status == http_status::tooManyRequests
+           || status == http_status::serviceUnavailable;
+}
+
+void gateway_pipe::handle(const backend_answer_started &in)
+{
+    request_context *context = findByCall(in.call);
+    if (context == nullptr) {
+        return;
+    }
+    if (!in.wrongBackend) {
+        recordNotices(*context, in);
+    }
+    if (in.requestIdMismatch) {
+        emit(cancel_call{in.call});
+        handleCallFailure(*context, true, "the answer belongs to another request");
+        return;
+    }
+    if (!in.wrongBackend) {
+        recordNamedLimit(context->backend, in.requestLimit);
+        if (context->group.value() == 0) {
+            m_serverStats[context->backend].answeredAt = m_now;
+        }
+    }
+    if (in.wrongBackend || in.notExecuted) {
+        handleNotExecuted(*context, in);
+        return;
+    }
+    if (impliesNotExecuted(in.status)) {
+        emit(cancel_call{in.call});
+        handleCallFailure(*context, true, "the server returned status " + std::to_string(in.status) + " without stating that the request did not run");
+        return;
+    }
+    const bool serverFailed = in.status >= http_status::internalServerError;
+    if (serverFailed && context->route->allowsRetry() && context->possibleRuns < context->route->attempts && context->sendCount < maxSends) {
+        emit(cancel_call{in.call});
+        handleCallFailure(*context, true, "the server returned status " + std::to_string(in.status));
+        return;
+    }
+    if (context->headRelayed && (in.status != http_status::ok || !in.isStream)) {
+        emit(cancel_call{in.call});
+        handleCallFailure(*context, true, "the server did not resume the stream");
+        return;
+    }
+    context->headReceived = true;
+    context->status = in.status;
+    context->isStreaming = in.isStream && in.status == http_status::ok;
+    if (context->isStreaming && !context->headRelayed) {
+        context->headRelayed = true;
+        context->lastRelayedAt = m_now;
+        emit(begin_stream{context->request.request, in.call});
+    }
+}
+
+/** Records what the server says of itself beside its answer. */
+void gateway_pipe::recordNotices(const request_context &context, const backend_answer_started &in)
+{
+    if (in.leaving && m_notices.recordLeaving(context.backend, context.backendStartedAt)) {
+        emit(backend_leaving_observed{context.backend, context.backendStartedAt});
+        sendReport();
+    }
+    if (in.refusalTime) {
+        m_notices.recordRefusal(context.backend, context.backendStartedAt, *in.refusalTime, m_now);
+        emit(backend_refusal_observed{context.backend, *in.refusalTime});
+    }
+}
+
+/** Retries elsewhere: the server did not run the request, or a different server uses the address. */
+void gateway_pipe::handleNotExecuted(request_context &context, const backend_answer_started &in)
+{
+    const group_epoch group = context.group;
+    emit(cancel_call{in.call});
+    if (group_monitor *monitor = monitorFor(group)) {
+        monitor->suspend(m_now + avoidanceTime);
+    }
+    handleCallFailure(
+        context,
+        false,
+        in.wrongBackend ? "a different server uses the address" : "the server rejected the request without running it, status " + std::to_string(in.status));
+}
+
+/** Records progress of the call in flight. Of a stream only whole events count: a server that sends a byte now and then is stalled. */
+void gateway_pipe::recordProgress(request_context &context)
+{
+    if (group_monitor *monitor = monitorFor(context.group)) {
+        monitor->recordProgress(context.call, m_now);
+    }
+    context.progressAt = m_now;
+}
+
+void gateway_pipe::handle(const backend_bytes_received &in)
+{
+    request_context *context = findByCall(in.call);
+    if (context == nullptr) {
+        return;
+    }
+    if (context->firstByte.count() == 0) {
+        context->firstByte = std::chrono::duration_cast<duration>(m_now - context->arrivedAt);
+    }
+    if (!context->isStreaming) {
+        recordProgress(*context);
+        context->answerBegunAt = context->answerBegunAt.value_or(m_now);
+        recordAnswerProgress(*context, false);
+        context->body += in.bytes;
+        if (context->body.size() > maxWholeAnswerBytes) {
+            emit(cancel_call{in.call});
+            handleCallFailure(*context, true, "the answer is too long");
+        }
+        return;
+    }
+    std::string events = context->splice.append(in.bytes);
+    if (context->splice.hasGap() || context->splice.hasEndlessEvent()) {
+        emit(cancel_call{in.call});
+        handleCallFailure(*context, true, context->splice.hasGap() ? "an event is missing in the stream" : "an event of the stream is too long");
+        return;
+    }
+    if (!events.empty()) {
+        recordProgress(*context);
+        context->answerBegunAt = context->answerBegunAt.value_or(m_now);
+        recordAnswerProgress(*context, false);
+        if (context->eventRelayed) {
+            context->longestPause = std::max(context->longestPause, std::chrono::duration_cast<duration>(m_now - context->lastRelayedAt));
+        }
+        context->eventRelayed = true;
+        context->lastRelayedAt = m_now;
+        emit(continue_answer{context->request.request, std::move(events)});
+    }
+}
+
+void gateway_pipe::handle(const backend_answer_finished &in)
+{
+    request_context *context = findByCall(in.call);
+    if (context == nullptr) {
+        return;
+    }
+    if (context->isStreaming && context->splice.hasPartialEvent()) {
+        handleCallFailure(*context, true, "the stream ended inside an event");
+        return;
+    }
+    // The server may have ended before the first event; an answer that goes on after the last one has none.
+    if (context->isStreaming && !context->answerBegunAt && !context->splice.lastEvent()) {
+        handleCallFailure(*context, true, "the stream ended before its first event");
+        return;
+    }
+    recordOutcome(*context, context->status >= http_status::internalServerError);
+    recordAnswerProgress(*context, true);
+    const request_id request = context->request.request;
+    if (context->isStreaming) {
+        emit(finish_answer{request});
+    } else {
+        emit(send_whole_answer{request, in.call, std::move(context->body)});
+    }
+    endCall(*context);
+    finish(request, true);
+}
+
+void gateway_pipe::handle(const backend_call_failed &in)
+{
+    request_context *context = findByCall(in.call);
+    if (context == nullptr) {
+        return;
+    }
+    const group_epoch group = context->group;
+    if (const auto found = m_view.groups().find(group); found != m_view.groups().end()) {
+        if (group_monitor *monitor = monitorFor(group); monitor != nullptr && in.neverSent) {
+            monitor->suspend(m_now + avoidanceTime);
+        }
+        probeMembers(found->second);
+    }
+    if (in.closedByServer) {
+        recordLostCall(*context);
+    }
+    handleCallFailure(*context, !in.neverSent, in.reason);
+}
+
+} // namespace carawayloft
