A gateway stops reading a stream that its caller does not take

Report of other operators: answers without end were kept until a process ran out of memory. Control reads at most 64 KiB of an answer to an order: all forms held.

Cause: events went to the caller's connection whatever it had not sent yet. Agents have credit for that, gateways had none. And the limit on a whole answer held for each request alone.

Change: relay_window pauses reading above 256 KiB that the caller has not taken, and goes on at half. Meanwhile the server does not count as silent. Whole answers have 32 MiB together; a large one beyond that fails.

--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -59,6 +59,12 @@
     bool closedByServer = false; /**< The server ended the connection in the middle of the call. */
 };
 
+/** The caller has taken bytes of its streamed answer. */
+struct answer_bytes_taken {
+    request_id request;
+    std::size_t bytes = 0;
+};
+
 struct configuration_in_force {
     std::shared_ptr<const service_configuration> configuration;
 };
@@ -69,6 +75,7 @@
                                         backend_bytes_received,
                                         backend_answer_finished,
                                         backend_call_failed,
+                                        answer_bytes_taken,
                                         probe_finished,
                                         configuration_in_force,
                                         control_message,
@@ -92,6 +99,12 @@
     backend_call_id call;
 };
 
+/** Stop or go on reading the answer of a call: its caller takes it more slowly than it comes. */
+struct pause_call {
+    backend_call_id call;
+    bool paused = false;
+};
+
 /** Start a streamed answer to the caller with the head received for @p call. */
 struct begin_stream {
     request_id request;
@@ -184,6 +197,7 @@
 
 using gateway_pipe_output = std::variant<call_backend,
                                          cancel_call,
+                                         pause_call,
                                          begin_stream,
                                          send_whole_answer,
                                          continue_answer,
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -9,6 +9,7 @@
 #include <carawayloft/gateway/group_monitor.h>
 #include <carawayloft/gateway/limit_observations.h>
 #include <carawayloft/gateway/load_shedder.h>
+#include <carawayloft/gateway/relay_window.h>
 #include <carawayloft/gateway/stream_splice.h>
 #include <carawayloft/gateway/traffic_meter.h>
 #include <carawayloft/service/route_table.h>
@@ -92,6 +93,7 @@
         duration firstByte{0};
         duration longestPause{0}; /**< Between relayed events. */
         stream_splice splice;
+        relay_window window;
         std::string body;
         std::string lastFailure;
     };
@@ -151,6 +153,9 @@
     void handle(const backend_bytes_received &in);
     void handle(const backend_answer_finished &in);
     void handle(const backend_call_failed &in);
+    void handle(const answer_bytes_taken &in);
+    void relay(request_context &context, std::string events);
+    std::size_t keptAnswerBytes() const;
     request_context *findByCall(backend_call_id call);
     void recordProgress(request_context &context);
     void handleNotExecuted(request_context &context, const backend_answer_started &in);
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -387,6 +387,9 @@
     }
     for (const request_id &request : requests) {
         if (const auto found = m_activeRequests.find(request); found != m_activeRequests.end() && !m_deferred.contains(request)) {
+            if (found->second.window.isPaused()) {
+                recordProgress(found->second); // Its silence is that of the caller.
+            }
             checkTimeouts(found->second);
         }
     }
--- a/src/gateway_pipe/gateway_pipe_answers.cpp
+++ b/src/gateway_pipe/gateway_pipe_answers.cpp
@@ -115,7 +115,8 @@
         context->answerBegunAt = context->answerBegunAt.value_or(m_now);
         recordAnswerProgress(*context, false);
         context->body += in.bytes;
-        if (context->body.size() > maxWholeAnswerBytes) {
+        const bool isLarge = context->body.size() > largeAnswerBytes;
+        if (context->body.size() > maxWholeAnswerBytes || (isLarge && keptAnswerBytes() > maxKeptAnswerBytes)) {
             emit(cancel_call{in.call});
             handleCallFailure(*context, true, "the answer is too long");
         }
@@ -134,10 +135,44 @@
         if (context->eventRelayed) {
             context->longestPause = std::max(context->longestPause, std::chrono::duration_cast<duration>(m_now - context->lastRelayedAt));
         }
-        context->eventRelayed = true;
-        context->lastRelayedAt = m_now;
-        emit(continue_answer{context->request.request, std::move(events)});
+        relay(*context, std::move(events));
+    }
+}
+
+/** Passes events on to the caller, and stops reading from the server once the caller has too many to take. */
+void gateway_pipe::relay(request_context &context, std::string events)
+{
+    context.eventRelayed = true;
+    context.lastRelayedAt = m_now;
+    const std::optional<bool> pause = context.window.add(events.size());
+    emit(continue_answer{context.request.request, std::move(events)});
+    if (pause) {
+        emit(pause_call{context.call, *pause});
+    }
+}
+
+void gateway_pipe::handle(const answer_bytes_taken &in)
+{
+    const auto found = m_activeRequests.find(in.request);
+    if (found == m_activeRequests.end()) {
+        return;
+    }
+    request_context &context = found->second;
+    const std::optional<bool> pause = context.window.taken(in.bytes);
+    if (pause && context.call.value() != 0) {
+        recordProgress(context); // The server was not the one that paused.
+        emit(pause_call{context.call, *pause});
+    }
+}
+
+/** Bytes of all answers that are kept until they are whole. */
+std::size_t gateway_pipe::keptAnswerBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &[request, context] : m_activeRequests) {
+        sum += context.body.size();
     }
+    return sum;
 }
 
 void gateway_pipe::handle(const backend_answer_finished &in)
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -212,6 +212,7 @@
     }
     m_calls.erase(context.call);
     context.call = {};
+    context.window.restart();
 }
 
 void gateway_pipe::recordOutcome(const request_context &context, bool failure)
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -259,6 +259,13 @@
     }
 }
 
+void gateway_task::execute(const pause_call &out)
+{
+    if (const auto found = m_calls.find(out.call); found != m_calls.end()) {
+        m_client->setPaused(found->second.http, out.paused);
+    }
+}
+
 http_response gateway_task::answerHead(const pending_call &call) const
 {
     return {call.head.status, endToEndHeaders(call.head.headers), {}};
@@ -289,7 +296,8 @@
 {
     const auto found = m_requests.find(out.request);
     if (found != m_requests.end()) {
-        found->second.exchange->write(out.bytes, nullptr);
+        const auto reportTaken = [this, request = out.request, bytes = out.bytes.size()] { run(answer_bytes_taken{request, bytes}); };
+        found->second.exchange->write(out.bytes, reportTaken);
     }
 }
 
--- a/src/tasks/gateway_task.h
+++ b/src/tasks/gateway_task.h
@@ -66,6 +66,7 @@
     void execute(const revision_in_force &out);
     void execute(const call_backend &out);
     void execute(const cancel_call &out);
+    void execute(const pause_call &out);
     void execute(const begin_stream &out);
     void execute(const send_whole_answer &out);
     void execute(const continue_answer &out);
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -588,6 +588,63 @@
     EXPECT_EQ(outputsOf<call_backend>().front().resumeAfter, stream_event_id(1));
 }
 
+TEST_F(GatewayPipe, AStreamThatItsCallerDoesNotTakeIsNotKeptWithoutEnd)
+{
+    const call_backend call = startCall(1, "/draft/x");
+    answer(call, 200, true);
+    int events = 0;
+    std::size_t relayed = 0;
+    std::vector<pause_call> pauses;
+    while (pauses.empty() && relayed < 2 * maxUntakenBytes) {
+        step(backend_bytes_received{call.call, event(++events)});
+        for (const continue_answer &each : outputsOf<continue_answer>()) {
+            relayed += each.bytes.size();
+        }
+        pauses = outputsOf<pause_call>();
+    }
+    ASSERT_EQ(pauses.size(), 1U);
+    EXPECT_TRUE(pauses.front().paused);
+    step(answer_bytes_taken{request_id(1), relayed});
+    ASSERT_EQ(outputsOf<pause_call>().size(), 1U);
+    EXPECT_FALSE(outputsOf<pause_call>().front().paused);
+}
+
+TEST_F(GatewayPipe, AServerIsNotTakenForStalledWhileTheCallerIsTheSlowOne)
+{
+    const call_backend call = startCall(1, "/draft/x");
+    answer(call, 200, true);
+    for (int events = 1; outputsOf<pause_call>().empty(); ++events) {
+        step(backend_bytes_received{call.call, event(events)});
+    }
+    for (duration elapsed{0}; elapsed < duration(2'500); elapsed += duration(20)) {
+        advance(duration(20));
+        tick();
+        EXPECT_TRUE(outputsOf<cancel_call>().empty());
+        EXPECT_TRUE(outputsOf<group_suspended>().empty());
+    }
+}
+
+TEST_F(GatewayPipe, ManyAnswersWithoutEndTogetherAreNotKept)
+{
+    std::vector<call_backend> calls;
+    for (std::uint64_t id = 1; id <= 2 * maxKeptAnswerBytes / maxWholeAnswerBytes; ++id) {
+        calls.push_back(startCall(id, "/records/x"));
+        answer(calls.back(), 200, false);
+    }
+    std::size_t kept = 0;
+    for (const call_backend &call : calls) {
+        bool cancelled = false;
+        std::size_t own = 0;
+        while (own < maxWholeAnswerBytes && !cancelled) {
+            step(backend_bytes_received{call.call, std::string(65'536, 'x')});
+            own += 65'536;
+            cancelled = !outputsOf<cancel_call>().empty();
+        }
+        kept += cancelled ? 0 : own;
+    }
+    EXPECT_LE(kept, maxKeptAnswerBytes);
+}
+
 /** A gateway whose callers send requests with a part of a prompt that may crash servers. */
 class GatewayQuarantine : public GatewayPipe
 {
--- a/tests/process/child.cpp
+++ b/tests/process/child.cpp
@@ -91,4 +91,16 @@
     return text.str();
 }
 
+std::size_t child::peakMemory() const
+{
+    static const std::string label = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(label)) {
+            return std::stoul(line.substr(label.size())) << 10U; // The line is in KiB.
+        }
+    }
+    return 0;
+}
+
 } // namespace carawayloft::test_support
--- a/tests/process/child.h
+++ b/tests/process/child.h
@@ -33,6 +33,9 @@
     {
         return m_pid > 0;
     }
+    /** The most memory that the process has held, in bytes. */
+    std::size_t peakMemory() const;
+
     /** What the process has written so far. */
     std::string log() const;
 
