A test of disks that are full one after another, with changes long after

Report of other operators: long after the last disk had room again, changes were refused or stayed unanswered.

--- a/tests/process/platform_core_test.cpp
+++ b/tests/process/platform_core_test.cpp
@@ -236,3 +236,30 @@
     await("the server drains", [this] { return isNoted("draining"); });
     EXPECT_FALSE(isNoted("ready"));
 }
+
+TEST_F(PlatformCore, ChangesAreAcceptedLongAfterDisksWereFullOneAfterAnother)
+{
+    int version = 1;
+    for (int round = 0; round < 2; ++round) {
+        for (const std::unique_ptr<child> &each : m_processes) {
+            each->limitFileSize(1);
+            for (int change = 0; change < 3; ++change) {
+                ++version;
+                await("a change is accepted while a disk is full", [&] { return accepted(configuration(version)); });
+            }
+            each->limitFileSize(RLIM_INFINITY);
+        }
+    }
+    await("all have the whole log", [this] {
+        const double index = metric(1, "carawayloft_log_index");
+        return index > 0 && index == metric(2, "carawayloft_log_index") && index == metric(3, "carawayloft_log_index");
+    });
+    for (int change = 0; change < 5; ++change) {
+        ++version;
+        ASSERT_TRUE(accepted(configuration(version)));
+        EXPECT_TRUE(allHold(version));
+    }
+    for (const std::unique_ptr<child> &each : m_processes) {
+        EXPECT_EQ(each->log().find("replica_stopped"), std::string::npos);
+    }
+}
