Formation waits for all members that leave a head

Change: in a domain where members were told to leave, formation waits until they have, 150 ms at most.

Failed before: FormationWaitsForAllMembersThatLeave..., run with this check taken out.

--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -135,6 +135,7 @@
     /** The order to a member to leave its group. */
     struct departure_order {
         group_epoch epoch;
+        time_point requestedAt;
         tracked_order order;
     };
     /** The group or backend server that an order is for. */
@@ -168,6 +169,7 @@
     bool mayReachHead(const managed_group &each) const;
     void abandon(managed_group &each, const char *reason);
     void orderToLeave(const backend_id &member, group_epoch epoch);
+    bool isReleasing(const fabric_domain_id &domain) const;
     const char *missingMemberReason(const managed_group &each) const;
     bool hasDrainingMember(const managed_group &each) const;
     void close(managed_group &each, bool preempt, const char *reason);
--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -15,6 +15,9 @@
 /** Time allowed for a head to stop at once; members of a head that does not say so leave it. */
 static constexpr duration headAnswerTimeout{700};
 
+/** Time for which formation waits for members that were told to leave: with all of them it needs no servers of other models. */
+static constexpr duration leaveAnswerTime{150};
+
 /** Reason for the end of a group, as logged; only for proofs. */
 static const char *describe(closure_proof proof)
 {
@@ -124,10 +127,20 @@
 {
     departure_order &leaving = m_departures[member];
     if (leaving.epoch != epoch) {
-        leaving = {epoch, {}};
+        leaving = {epoch, m_now, {}};
     }
     leaving.order.answered = leaving.order.answered && m_now < leaving.order.sentAt + orderResendDelay;
     send(leaving.order, epoch, member, leave_group{epoch}, orderResendDelay);
 }
 
+/** Whether members of the domain were told to leave their group just now and have not confirmed it yet. */
+bool group_controller::isReleasing(const fabric_domain_id &domain) const
+{
+    return std::any_of(m_departures.begin(), m_departures.end(), [&](const auto &each) {
+        const backend_registry::entry *entry = findEntry(each.first);
+        return entry != nullptr && entry->record.fabricDomain == domain && entry->record.membership.epoch == each.second.epoch
+               && m_now < each.second.requestedAt + leaveAnswerTime && !m_closure.isReleased(*entry);
+    });
+}
+
 } // namespace carawayloft
--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -43,6 +43,26 @@
     EXPECT_EQ(fleet.engines.at(group.head()).record.membership.state, membership_state::Open);
 }
 
+TEST(GroupController, FormationWaitsForAllMembersThatLeaveInsteadOfTakingServersOfAnotherModel)
+{
+    engine_fleet fleet(1, 11, makeEngine(4, 4));
+    fleet.lead(2);
+    fleet.settle(60); // A group of each model, and spares that one member more would make a group of.
+    ASSERT_EQ(fleet.open(largeModel).size(), 1U);
+    const engine_group group = fleet.open(largeModel).front();
+    fleet.delaysLeaves = true;
+    fleet.cutOff(group.head(), true);
+    fleet.reconcile();
+    std::size_t forming = 0;
+    while (fleet.answerLeave()) {
+        const std::vector<engine_group> groups = fleet.controller.groups();
+        forming = static_cast<std::size_t>(
+            std::count_if(groups.begin(), groups.end(), [](const engine_group &each) { return each.phase == group_phase::Forming; }));
+        EXPECT_TRUE(forming == 0 || !fleet.hasDelayedLeaves()) << "formed before all members have left";
+    }
+    EXPECT_EQ(forming, 1U);
+}
+
 TEST(GroupController, MembersThatCannotBeReachedStayBoundToAHeadThatMayServe)
 {
     engine_fleet fleet(1, 4, makeEngine(3, 4));
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <map>
 
 namespace carawayloft::test_support {
@@ -97,6 +98,25 @@
         engines.at(id).takesOrders = true;
     }
 
+    /** Lets one engine execute and answer its order to leave; returns false if there is none. */
+    bool answerLeave()
+    {
+        if (m_delayed.empty()) {
+            return false;
+        }
+        const engine_order_requested order = m_delayed.front();
+        m_delayed.pop_front();
+        execute(engines.at(order.backend), std::get<leave_group>(order.what));
+        controller.step(order_finished{order.order, order_outcome::Done}, now);
+        reconcile();
+        return true;
+    }
+
+    bool hasDelayedLeaves() const
+    {
+        return !m_delayed.empty();
+    }
+
     void lose(const backend_id &id, bool confirmed = true)
     {
         engines.at(id).alive = false;
@@ -120,6 +140,7 @@
     std::set<availability_zone_id> zonesOut;
     fleet_traffic demand; /**< Of callers; empty if unknown. */
     time_point now{std::chrono::hours(1)};
+    bool delaysLeaves = false; /**< Answers to orders to leave wait for answerLeave(). */
     std::set<backend_id> unanswering; /**< Engines that execute orders, but whose answers are lost. */
     bool trafficStarted = true; /**< Whether callers may have sent requests. */
     duration stagingTime{0}; /**< To load a model to a host. */
@@ -145,6 +166,10 @@
         if (!engine.alive || !engine.takesOrders) {
             return;
         }
+        if (delaysLeaves && std::holds_alternative<leave_group>(order.what)) {
+            m_delayed.push_back(order);
+            return;
+        }
         const order_outcome outcome = std::visit([&](const auto &what) { return execute(engine, what); }, order.what);
         if (!unanswering.contains(order.backend)) {
             controller.step(order_finished{order.order, outcome}, now);
@@ -221,6 +246,7 @@
     }
 
     std::vector<service_settings> m_services;
+    std::deque<engine_order_requested> m_delayed;
     std::size_t m_added = 0;
 };
 
