A check-in without a fabric domain, or an engine without models, ends no replica

A configuration whose engine lists no models was confirmed and ended control with signal 11, again after each restart.

Cause: a pool of an empty domain was made for the standby, which the plan did not have (std::out_of_range in a timer); nothing asked an engine for models.

Change: a server stays in the domain that it named until its next start; a standby is added to domains that exist only; an engine without models is refused with 400, naming the service.

Failed before, with the sources of: GroupController.AStandbyThatAnnouncesNoFabricDomainDoesNotEndControl (it throws std::out_of_range) and ServiceConfiguration.RefusesAnEngineWithoutModelsWhichWouldEndControl.

--- a/src/fleet_pipe/backend_registry.cpp
+++ b/src/fleet_pipe/backend_registry.cpp
@@ -68,6 +68,9 @@
     if (sameStart && record.loaded.value().empty()) {
         record.loaded = current.record.loaded;
     }
+    if (sameStart && record.fabricDomain.value().empty()) {
+        record.fabricDomain = current.record.fabricDomain; // It does not change while the server runs.
+    }
     if (!sameStart || recordsDiffer(current.record, record)) {
         const bool wasReady = current.record.state == backend_state::Ready || current.record.state == backend_state::Lost;
         const bool crashed = known != m_entries.end() && !sameStart && wasReady && !current.confirmedDown;
--- a/src/fleet_pipe/group_controller_rebalancing.cpp
+++ b/src/fleet_pipe/group_controller_rebalancing.cpp
@@ -137,8 +137,11 @@
 {
     for (const auto &[backend, each] : m_standby) {
         const backend_registry::entry *entry = findEntry(backend);
-        if (entry != nullptr && entry->record.service == service.service && m_now + upcomingSpareWindow >= each.expectedReadyAt) {
-            pools[entry->record.fabricDomain].addSpare({backend, each.model, {}});
+        if (entry == nullptr || entry->record.service != service.service || m_now + upcomingSpareWindow < each.expectedReadyAt) {
+            continue;
+        }
+        if (const auto pool = pools.find(entry->record.fabricDomain); pool != pools.end()) {
+            pool->second.addSpare({backend, each.model, {}});
         }
     }
 }
--- a/src/service_pipe/service_configuration.cpp
+++ b/src/service_pipe/service_configuration.cpp
@@ -50,6 +50,14 @@
     return {};
 }
 
+static status checkService(const service_settings &service)
+{
+    if (service.engine && service.engine->models.empty()) {
+        return invalid("the engine of service '" + service.service.value() + "' has no models", "list at least one model");
+    }
+    return {};
+}
+
 result<service_configuration> service_configuration::create(configuration_fields fields)
 {
     std::set<std::pair<std::string, std::string>> hostsAndPrefixes;
@@ -61,6 +69,11 @@
             return error{error_kind::InvalidRequest, "two routes have the host and path prefix " + route.host + route.pathPrefix, "remove one of them"};
         }
     }
+    for (const service_settings &each : fields.services) {
+        if (status checked = checkService(each); failed(checked)) {
+            return errorOf(checked);
+        }
+    }
     if (status checked = checkAccounts(fields.accounts); failed(checked)) {
         return errorOf(checked);
     }
--- a/tests/fleet/backend_registry_test.cpp
+++ b/tests/fleet/backend_registry_test.cpp
@@ -194,3 +194,15 @@
     EXPECT_EQ(registry.find(backend_id("a"))->record.state, backend_state::Draining);
     EXPECT_TRUE(registry.step(departures_recorded{{{backend_id("a"), 1}}}, start).empty());
 }
+
+TEST(BackendRegistry, AnAnnouncementWithoutAFabricDomainKeepsTheKnownOne)
+{
+    backend_registry registry;
+    backend_check_in announced = makeCheckIn("a", 1, 1);
+    announced.record.fabricDomain = fabric_domain_id("d1");
+    registry.step(announced, start);
+    registry.step(makeCheckIn("a", 1, 2), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.fabricDomain, fabric_domain_id("d1"));
+    registry.step(makeCheckIn("a", 2, 1), start);
+    EXPECT_EQ(registry.find(backend_id("a"))->record.fabricDomain, fabric_domain_id()) << "another run may be elsewhere";
+}
--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -161,6 +161,20 @@
     EXPECT_EQ(fleet.open(largeModel).size(), 1U);
 }
 
+TEST(GroupController, AStandbyThatAnnouncesNoFabricDomainDoesNotEndControl)
+{
+    engine_fleet fleet(1, 4, makeEngine(3, 4));
+    fleet.lead(2);
+    fleet.settle(40);
+    const backend_id added = fleet.add("d0");
+    fleet.engines.at(added).record.staged = {largeModel};
+    fleet.engines.at(added).takesOrders = false; // It stays a standby that is about to be ready.
+    fleet.settle(1);
+    fleet.engines.at(added).record.fabricDomain = {};
+    EXPECT_NO_THROW(fleet.settle(30));
+    EXPECT_EQ(fleet.open(largeModel).size(), 1U);
+}
+
 TEST(GroupController, ANewLeaderAdoptsGroupsFromReportsOfTheirMembers)
 {
     engine_fleet fleet(1, 4, makeEngine(3, 4));
--- a/tests/service/service_configuration_test.cpp
+++ b/tests/service/service_configuration_test.cpp
@@ -38,6 +38,13 @@
     EXPECT_FALSE(isValid(fields));
 }
 
+TEST(ServiceConfiguration, RefusesAnEngineWithoutModelsWhichWouldEndControl)
+{
+    configuration_fields fields = makeFields();
+    fields.services.front().engine->models.clear();
+    EXPECT_TRUE(failed(service_configuration::create(std::move(fields))));
+}
+
 TEST(ServiceConfiguration, RefusesARouteWithoutTimeLimit)
 {
     configuration_fields fields = makeFields();
