Plans wait for members that leave, and a head's report counts from the order

And two closures took 0.52 s: the head's report had come before its answer to the order, and only a later one counted.

Change: planning and formation wait until all members that were told to leave have confirmed it, 150 ms at most, so that one plan does. A report of the head counts if it was heard after the first order to close, once that has been answered; an older one may precede the order to open.

--- a/include/carawayloft/fleet/group_closure.h
+++ b/include/carawayloft/fleet/group_closure.h
@@ -10,7 +10,7 @@
 /** What proves that the head of a group does not serve it. */
 enum class closure_proof : std::uint8_t {
     None, /**< It may serve: silence proves nothing, since a head that is cut off goes on. */
-    Reported, /**< It announced another state after it had answered the order to close. */
+    Reported, /**< It announced another state after it was ordered to close, and has answered that order. */
     Confirmed, /**< It answered that it has closed. */
     Restarted, /**< It announced a later start. */
     Replaced, /**< A server that started later uses its address. */
@@ -21,7 +21,7 @@
     group_epoch epoch;
     const backend_registry::entry *entry = nullptr; /**< Null if it has not announced itself. */
     std::optional<std::int64_t> startedAt; /**< Its start when the group was formed, if known. */
-    std::optional<time_point> closeAnsweredAt; /**< When it last answered the order to close. */
+    std::optional<time_point> closeOrderedAt; /**< When it was first ordered to close, if it has answered that. */
 };
 
 /**
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -100,7 +100,7 @@
         time_point sentAt;
         bool sent = false;
         bool answered = false;
-        std::optional<time_point> answeredAt; /**< Of the last answer, whatever it said. */
+        std::optional<time_point> firstSentAt;
     };
     struct managed_group {
         engine_group group;
@@ -169,7 +169,7 @@
     bool mayReachHead(const managed_group &each) const;
     void abandon(managed_group &each, const char *reason);
     void orderToLeave(const backend_id &member, group_epoch epoch);
-    bool isReleasing(const fabric_domain_id &domain) const;
+    bool isReleasing() const;
     const char *missingMemberReason(const managed_group &each) const;
     bool hasDrainingMember(const managed_group &each) const;
     void close(managed_group &each, bool preempt, const char *reason);
--- a/src/fleet_pipe/group_closure.cpp
+++ b/src/fleet_pipe/group_closure.cpp
@@ -67,8 +67,8 @@
     const bool isHeard = head.entry->record.state == backend_state::Ready || head.entry->record.state == backend_state::Draining;
     const membership_report &report = head.entry->record.membership;
     const bool mayServe = report.epoch == head.epoch && reportsServing(report);
-    // An order that was answered may be executed later, so only what the head announces after its answer counts.
-    if (isHeard && !mayServe && head.closeAnsweredAt && head.entry->heardAt > *head.closeAnsweredAt) {
+    // What it announced before the order may be older than the order to open.
+    if (isHeard && !mayServe && head.closeOrderedAt && head.entry->heardAt > *head.closeOrderedAt) {
         return closure_proof::Reported;
     }
     return closure_proof::None;
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -90,14 +90,12 @@
         if (slot.order == in.order) {
             // An engine that is not ready yet gets the order again.
             slot.answered = in.outcome != order_outcome::Conflict;
-            slot.answeredAt = m_now;
         }
     };
     if (const auto group = m_groups.find(target.epoch); group != m_groups.end()) {
         recordOutcome(group->second.openOrder);
         if (group->second.closeOrder.order == in.order) {
             group->second.closeOrder.answered = true;
-            group->second.closeOrder.answeredAt = m_now;
             // The answer is as good as an announcement, which may have gone to a former leader.
             if (group->second.preempt && in.outcome == order_outcome::Done) {
                 m_closure.recordHeadClosed(target.epoch, m_now);
@@ -139,8 +137,9 @@
     }
     reconcileStandbys();
     reconcileStaging();
+    const bool releasing = isReleasing();
     for (const service_settings &service : m_context->services) {
-        if (service.engine) {
+        if (service.engine && !releasing) {
             reconcileService(service);
         }
     }
@@ -165,6 +164,7 @@
     m_lastOrder = next(m_lastOrder);
     slot.order = m_lastOrder;
     slot.sentAt = m_now;
+    slot.firstSentAt = slot.firstSentAt.value_or(m_now);
     slot.sent = true;
     m_pendingOrders[m_lastOrder] = {epoch, backend};
     m_out.emplace_back(engine_order_requested{m_lastOrder, backend, std::move(what)});
--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -15,7 +15,7 @@
 /** Time allowed for a head to stop at once; members of a head that does not say so leave it. */
 static constexpr duration headAnswerTimeout{700};
 
-/** Time for which formation waits for members that were told to leave: with all of them it needs no servers of other models. */
+/** Time for which plans and formation wait for members that were told to leave: with all of them there is less to load, and one plan does. */
 static constexpr duration leaveAnswerTime{150};
 
 /** Reason for the end of a group, as logged; only for proofs. */
@@ -74,7 +74,9 @@
     if (!each.startedAt.empty()) {
         head.startedAt = each.startedAt.front();
     }
-    head.closeAnsweredAt = each.closeOrder.answeredAt;
+    if (each.closeOrder.answered) {
+        head.closeOrderedAt = each.closeOrder.firstSentAt;
+    }
     return m_closure.proofFor(head);
 }
 
@@ -133,13 +135,13 @@
     send(leaving.order, epoch, member, leave_group{epoch}, orderResendDelay);
 }
 
-/** Whether members of the domain were told to leave their group just now and have not confirmed it yet. */
-bool group_controller::isReleasing(const fabric_domain_id &domain) const
+/** Whether any server was told to leave its group just now and has not confirmed it yet. */
+bool group_controller::isReleasing() const
 {
     return std::any_of(m_departures.begin(), m_departures.end(), [&](const auto &each) {
-        const backend_registry::entry *entry = findEntry(each.first);
-        return entry != nullptr && entry->record.fabricDomain == domain && entry->record.membership.epoch == each.second.epoch
-               && m_now < each.second.requestedAt + leaveAnswerTime && !m_closure.isReleased(*entry);
+        const auto &[backend, leaving] = each;
+        const backend_registry::entry *entry = m_now < leaving.requestedAt + leaveAnswerTime ? findEntry(backend) : nullptr;
+        return entry != nullptr && entry->record.membership.epoch == leaving.epoch && !m_closure.isReleased(*entry);
     });
 }
 
--- a/src/fleet_pipe/group_controller_formation.cpp
+++ b/src/fleet_pipe/group_controller_formation.cpp
@@ -191,7 +191,7 @@
     const auto smallest
         = std::min_element(models.begin(), models.end(), [](const auto &one, const auto &other) { return one.hostsPerGroup < other.hostsPerGroup; });
     for (auto &[domain, pool] : pools) {
-        if (smallest == models.end() || isReturning(domain, pool, smallest->hostsPerGroup) || isReleasing(domain)) {
+        if (smallest == models.end() || isReturning(domain, pool, smallest->hostsPerGroup)) {
             continue;
         }
         for (const planned_group &each : formDomainGroups(utility, fleet, domain, pool, plan.at(domain).groups)) {
