Replicated log: record the groups of engines that servers may be ordered to join

Cause: a new leader learns of groups from what was mirrored, and a leader that is cut off mirrors nothing.

--- a/include/carawayloft/control/fleet_command.h
+++ b/include/carawayloft/control/fleet_command.h
@@ -182,6 +182,27 @@
     }
 };
 
+/** Names a group of engines that is removed. */
+struct removed_engine_group {
+    group_epoch epoch;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"epoch", &removed_engine_group::epoch});
+    }
+};
+
+/** Records groups of engines before any server is ordered to join them, and removes those whose head is known not to serve. */
+struct record_engine_groups {
+    std::vector<engine_group_record> formed;
+    std::vector<removed_engine_group> retired; /**< Removed first: their members may be in the groups formed. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"formed", &record_engine_groups::formed}, field{"retired", &record_engine_groups::retired});
+    }
+};
+
 /** Any change of the fleet configuration. Its index is its type in the log, so new types go to the end. */
 using fleet_change = std::variant<put_zone,
                                   put_host,
@@ -199,7 +220,8 @@
                                   put_configuration,
                                   quarantine_trait,
                                   release_trait,
-                                  record_departure>;
+                                  record_departure,
+                                  record_engine_groups>;
 
 /** A change with the sender's request id, for deduplication, and the revision that the sender based it on. */
 struct fleet_command {
--- a/include/carawayloft/control/fleet_state.h
+++ b/include/carawayloft/control/fleet_state.h
@@ -45,6 +45,7 @@
     configuration_record configuration;
     std::vector<quarantine_record> quarantine;
     std::vector<departure_record> departures; /**< Oldest first. */
+    std::vector<engine_group_record> engineGroups;
 
     static constexpr auto fields()
     {
@@ -60,7 +61,8 @@
                           field{"last_author", &fleet_snapshot::lastAuthor},
                           field{"configuration", &fleet_snapshot::configuration},
                           field{"quarantine", &fleet_snapshot::quarantine},
-                          field{"departures", &fleet_snapshot::departures});
+                          field{"departures", &fleet_snapshot::departures},
+                          field{"engine_groups", &fleet_snapshot::engineGroups});
     }
 };
 
@@ -128,6 +130,18 @@
     /** Whether a departure of the server that covers this start is recorded. */
     bool hasDeparted(const departure_record &departure) const;
 
+    /** Groups of engines that servers may have been ordered to join and that are not known to have ended. */
+    const std::map<group_epoch, engine_group_record> &engineGroups() const
+    {
+        return m_engineGroups;
+    }
+
+    /** Revision of the last change of engineGroups(). */
+    revision engineGroupsChangedAt() const
+    {
+        return m_engineGroupsChangedAt;
+    }
+
     /** The group that @p host is assigned to, or nullptr. */
     const group_record *groupOf(const host_id &host) const;
     const host_record *host(const host_id &host) const;
@@ -153,6 +167,7 @@
     status change(const quarantine_trait &change, revision at);
     status change(const release_trait &change, revision at);
     status change(const record_departure &change, revision at);
+    status change(const record_engine_groups &change, revision at);
 
     result<group_record *> findGroup(group_id group, group_epoch epoch);
     result<plan_record *> findPlan(plan_id plan);
@@ -173,6 +188,8 @@
     configuration_record m_configuration;
     std::map<service_trait, quarantine_record> m_quarantine;
     std::deque<departure_record> m_departures;
+    std::map<group_epoch, engine_group_record> m_engineGroups;
+    revision m_engineGroupsChangedAt;
     std::map<command_id, command_result> m_commandResults;
     std::deque<command_id> m_commandResultOrder;
 };
--- a/include/carawayloft/control/records.h
+++ b/include/carawayloft/control/records.h
@@ -157,6 +157,37 @@
     friend bool operator==(const departure_record &, const departure_record &) = default;
 };
 
+/** A member of a group of engines, in the run that was chosen for the group. */
+struct engine_member_record {
+    backend_id backend;
+    std::int64_t startedAt = 0; /**< Start of that run, by the wall clock in milliseconds. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"backend", &engine_member_record::backend}, field{"started_at", &engine_member_record::startedAt});
+    }
+
+    friend bool operator==(const engine_member_record &, const engine_member_record &) = default;
+};
+
+/** A group of engines that servers may have been ordered to join, and whose head may serve; the first member is the head. */
+struct engine_group_record {
+    group_epoch epoch;
+    service_id service;
+    model_id model;
+    std::vector<engine_member_record> members;
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"epoch", &engine_group_record::epoch},
+                          field{"service", &engine_group_record::service},
+                          field{"model", &engine_group_record::model},
+                          field{"members", &engine_group_record::members});
+    }
+
+    friend bool operator==(const engine_group_record &, const engine_group_record &) = default;
+};
+
 enum class step_kind : std::uint8_t {
     OpenZone, /**< Let placement fill an arriving availability zone. */
     AwaitCapacity, /**< Wait until the groups that replace those of the leaving zone are serving. */
--- a/src/control_pipe/fleet_state.cpp
+++ b/src/control_pipe/fleet_state.cpp
@@ -14,6 +14,9 @@
 /** Number of departures remembered; the oldest are dropped first. An announcement of a server that left is late by seconds at most. */
 static constexpr std::size_t maxDepartures = 1'024;
 
+/** Number of recorded groups of engines: more than 5,300 servers can be in at once. None is dropped, since its members would count as free. */
+static constexpr std::size_t maxEngineGroups = 8'192;
+
 static status reject(error_kind kind, std::string what, std::string remedy)
 {
     return error{kind, std::move(what), std::move(remedy)};
@@ -347,6 +350,28 @@
     return {};
 }
 
+status fleet_state::change(const record_engine_groups &change, revision at)
+{
+    const auto removed
+        = std::count_if(change.retired.begin(), change.retired.end(), [this](const removed_engine_group &each) { return m_engineGroups.contains(each.epoch); });
+    if (m_engineGroups.size() - static_cast<std::size_t>(removed) + change.formed.size() > maxEngineGroups) {
+        return reject(error_kind::InvalidRequest,
+                      std::to_string(m_engineGroups.size()) + " groups of engines are recorded already",
+                      "find out why groups are not retired: look for 'engine_group_retired' in the log");
+    }
+    if (std::any_of(change.formed.begin(), change.formed.end(), [](const engine_group_record &each) { return each.members.empty(); })) {
+        return reject(error_kind::InvalidRequest, "a group of engines has no members", "name its members, the head first");
+    }
+    for (const removed_engine_group &each : change.retired) {
+        m_engineGroups.erase(each.epoch);
+    }
+    for (const engine_group_record &each : change.formed) {
+        m_engineGroups.emplace(each.epoch, each);
+    }
+    m_engineGroupsChangedAt = at;
+    return {};
+}
+
 const group_record *fleet_state::groupOf(const host_id &host) const
 {
     const auto assigned = m_assignments.find(host);
--- a/src/control_pipe/fleet_state_snapshot.cpp
+++ b/src/control_pipe/fleet_state_snapshot.cpp
@@ -29,6 +29,10 @@
         m_quarantine.emplace(service_trait{each.service, each.trait}, each);
     }
     m_departures.assign(snapshot.departures.begin(), snapshot.departures.end());
+    for (const engine_group_record &each : snapshot.engineGroups) {
+        m_engineGroups.emplace(each.epoch, each);
+    }
+    m_engineGroupsChangedAt = snapshot.at;
     for (const zone_record &each : snapshot.zones) {
         m_zones.emplace(each.zone, each);
     }
@@ -70,7 +74,8 @@
                             m_lastAuthor,
                             m_configuration,
                             valuesOf(m_quarantine),
-                            {m_departures.begin(), m_departures.end()}};
+                            {m_departures.begin(), m_departures.end()},
+                            valuesOf(m_engineGroups)};
     for (const command_id &each : m_commandResultOrder) {
         snapshot.commandResults.push_back(m_commandResults.at(each));
     }
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -117,6 +117,14 @@
         return {"trait_released", severity::Info};
     case event_number::DepartureRecorded:
         return {"departure_recorded", severity::Info};
+    case event_number::EngineGroupRecorded:
+        return {"engine_group_recorded", severity::Info};
+    case event_number::EngineGroupRemoved:
+        return {"engine_group_removed", severity::Info};
+    case event_number::EngineOrdersAllowed:
+        return {"engine_orders_allowed", severity::Info};
+    case event_number::EngineGroupsProposed:
+        return {"engine_groups_proposed", severity::Info};
     case event_number::RoleChanged:
         return {"role_changed", severity::Info};
     case event_number::ChangeAccepted:
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -204,10 +204,20 @@
                                                                                        "put_configuration",
                                                                                        "quarantine_trait",
                                                                                        "release_trait",
-                                                                                       "record_departure"};
+                                                                                       "record_departure",
+                                                                                       "record_engine_groups"};
     return names[change.index()];
 }
 
+static std::string joinIds(const std::vector<engine_member_record> &members)
+{
+    std::string ids;
+    for (const engine_member_record &each : members) {
+        ids += (ids.empty() ? "" : ",") + each.backend.value();
+    }
+    return ids;
+}
+
 void control_task::execute(const change_applied &out)
 {
     const char *kind = changeKind(out.command.change);
@@ -244,6 +254,14 @@
             [&](const record_departure &change) {
                 logEvent(event_number::DepartureRecorded, {{"backend", change.departure.backend}, {"started_at", change.departure.startedAt}});
             },
+            [&](const record_engine_groups &change) {
+                for (const removed_engine_group &each : change.retired) {
+                    logEvent(event_number::EngineGroupRemoved, {{"group", each.epoch}});
+                }
+                for (const engine_group_record &each : change.formed) {
+                    logEvent(event_number::EngineGroupRecorded, {{"group", each.epoch}, {"model", each.model}, {"members", joinIds(each.members)}});
+                }
+            },
             [](const auto &) {},
         },
         out.command.change);
--- a/tests/control/fleet_state_test.cpp
+++ b/tests/control/fleet_state_test.cpp
@@ -248,3 +248,58 @@
     EXPECT_FALSE(state.hasDeparted({backend_id("e1"), 1}));
     EXPECT_TRUE(state.hasDeparted({backend_id("e" + std::to_string(recorded)), 1}));
 }
+
+static engine_group_record makeEngineGroup(std::uint64_t epoch)
+{
+    return {group_epoch(epoch), model, model_id("large"), {{backend_id("a"), 5}, {backend_id("b"), 6}}};
+}
+
+static fleet_command recordGroups(std::vector<engine_group_record> formed, std::vector<removed_engine_group> retired = {})
+{
+    return {{}, "group control", {}, record_engine_groups{std::move(formed), std::move(retired)}};
+}
+
+// Guards against a successor that does not know a group which its servers were ordered to join.
+TEST(FleetStateEngineGroups, RemembersGroupsAcrossSnapshots)
+{
+    fleet_state state;
+    state.apply(recordGroups({makeEngineGroup(7)}), revision(1));
+    fleet_state restored;
+    restored.restore(state.snapshot());
+    ASSERT_EQ(restored.engineGroups().size(), 1U);
+    EXPECT_EQ(restored.engineGroups().at(group_epoch(7)), makeEngineGroup(7));
+    EXPECT_NE(restored.engineGroupsChangedAt(), revision()) << "nobody would be told of them";
+}
+
+TEST(FleetStateEngineGroups, ARetiredGroupIsInNoSnapshot)
+{
+    fleet_state state;
+    state.apply(recordGroups({makeEngineGroup(7)}), revision(1));
+    state.apply(recordGroups({makeEngineGroup(8)}, {{group_epoch(7)}}), revision(2));
+    ASSERT_EQ(state.snapshot().engineGroups.size(), 1U);
+    EXPECT_EQ(state.snapshot().engineGroups.front().epoch, group_epoch(8));
+    EXPECT_EQ(state.engineGroupsChangedAt(), revision(2));
+}
+
+TEST(FleetStateEngineGroups, RefusesAGroupWithoutMembers)
+{
+    fleet_state state;
+    EXPECT_TRUE(failed(state.apply(recordGroups({{group_epoch(7), model, model_id("large"), {}}}), revision(1))));
+    EXPECT_TRUE(state.engineGroups().empty());
+}
+
+// Guards against memory without bound, and against groups that are dropped for others: their servers would count as free.
+TEST(FleetStateEngineGroups, RefusesMoreGroupsThanAFleetCanHaveAndDropsNone)
+{
+    fleet_state state;
+    std::uint64_t recorded = 0;
+    while (!failed(state.apply(recordGroups({makeEngineGroup(recorded + 1)}), revision(recorded + 1)))) {
+        ASSERT_LT(++recorded, 100'000U) << "no bound";
+    }
+    EXPECT_GT(recorded, 5'300U);
+    EXPECT_EQ(state.engineGroups().size(), recorded);
+    EXPECT_TRUE(state.engineGroups().contains(group_epoch(1)));
+    EXPECT_TRUE(failed(state.apply(recordGroups({makeEngineGroup(recorded + 1), makeEngineGroup(recorded + 2)}, {{group_epoch(1)}}), revision(recorded + 2))));
+    EXPECT_TRUE(state.engineGroups().contains(group_epoch(1))) << "a refused change was made in part";
+    EXPECT_FALSE(failed(state.apply(recordGroups({makeEngineGroup(recorded + 2)}, {{group_epoch(1)}}), revision(recorded + 3))));
+}
