Control: a group is in the log before a server is ordered to join it

What callers saw: answers cut, because after a failover the head or a member of an open group was ordered into another one. Cause: a leader that was cut off from the other replicas went on forming and opening groups, and its successor acted on what was mirrored before. Change: the controller proposes to record a group and orders the joins once it is committed; a retired group is removed. A new leader begins with the groups in its log and binds their servers until there is proof. The fleet pipe lets the controller decide only while the leader lease is held. A later start of a head is no proof any more if that run reports the group: the property test showed that a repeated join can reach the later run, which a leader with an older mirror then opens. For the same reason a mirrored group in phase opening that is not in the log has its members checked again, and a mirrored group that was never committed is dropped if its servers are in a recorded one.

--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -9,8 +9,9 @@
 
 /**
  * The pipe from announcements and gateway reports to engine orders and publications: registry, group
- * controller, publication. Its state is not in the replicated log: a new leader starts from the records that
- * the previous one mirrored and receives the rest within two announcement periods.
+ * controller, publication. Of its state, the replicated log has the groups that servers may have been ordered to
+ * join: a new leader starts from these and from the records that the previous one mirrored, and receives the rest
+ * within two announcement periods. Engines get orders only while this replica holds the leader lease.
  */
 class fleet_pipe
 {
@@ -56,6 +57,8 @@
     void handle(const zones_out_changed &in);
     void handle(const quarantined_traits_changed &in);
     void handle(const departures_changed &in);
+    void handle(const engine_groups_changed &in);
+    void handle(const leader_lease_changed &in);
     void handle(const check_in_received &in);
     void handle(const departure_received &in);
     void handle(const gateway_reported &in);
@@ -73,6 +76,7 @@
     void forward(const engine_order_requested &out);
     void forward(const group_changed &out);
     void forward(const group_retired &out);
+    void forward(const group_records_proposed &out);
     void forward(const model_assessed &out);
     void publish(publish_fleet change);
     backend_record currentRecord(const backend_id &backend, time_point now) const;
@@ -93,6 +97,7 @@
     time_point m_now;
     std::vector<output> m_out;
     bool m_leads = false;
+    bool m_holdsLease = false;
     log_term m_term;
     time_point m_leadsSince;
     bool m_trafficStarted = false; /**< Whether callers may have sent requests. */
@@ -104,6 +109,7 @@
     crash_correlator m_correlator;
     std::set<service_trait> m_quarantinedTraits;
     std::vector<departure_record> m_departures;
+    std::vector<engine_group_record> m_recordedGroups;
     std::vector<service_settings> m_services;
     std::set<availability_zone_id> m_zonesOut;
     std::map<link_id, gateway> m_gateways;
--- a/include/carawayloft/fleet/fleet_pipe_messages.h
+++ b/include/carawayloft/fleet/fleet_pipe_messages.h
@@ -38,6 +38,16 @@
     std::vector<departure_record> departures;
 };
 
+/** The groups of engines in the replicated state. */
+struct engine_groups_changed {
+    std::vector<engine_group_record> groups;
+};
+
+/** Whether this replica holds the leader lease, without which another one may lead already. */
+struct leader_lease_changed {
+    bool held = false;
+};
+
 struct check_in_received {
     backend_check_in announcement;
 };
@@ -74,6 +84,8 @@
                                       zones_out_changed,
                                       quarantined_traits_changed,
                                       departures_changed,
+                                      engine_groups_changed,
+                                      leader_lease_changed,
                                       check_in_received,
                                       departure_received,
                                       gateway_reported,
@@ -128,6 +140,7 @@
                                        log_backend_change,
                                        group_changed,
                                        group_retired,
+                                       group_records_proposed,
                                        model_assessed,
                                        crash_recorded,
                                        trait_suspected,
--- a/include/carawayloft/fleet/group_closure.h
+++ b/include/carawayloft/fleet/group_closure.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/control/records.h>
 #include <carawayloft/fleet/backend_registry.h>
 
 #include <optional>
@@ -16,6 +17,9 @@
     Replaced, /**< A server that started later uses its address. */
 };
 
+/** Reason for the end of a group, as logged; only for proofs. */
+const char *describe(closure_proof proof);
+
 /** What control knows about the head of a group that it closes. */
 struct closing_head {
     group_epoch epoch;
@@ -35,6 +39,9 @@
     /** Forgets all groups. */
     void clear();
 
+    /** Takes the groups in the replicated log. A server may be in its latest one, whatever it last reported; it was free of earlier ones by then. */
+    void setRecords(const std::vector<engine_group_record> &records);
+
     /** Takes the registry's latest reports; call it before the queries whenever the registry has changed. */
     void observe(const backend_registry &registry);
 
@@ -57,6 +64,18 @@
 
     bool isAbandoned(group_epoch epoch) const;
 
+    /** Whether the head of the group is known not to serve. */
+    bool hasEnded(group_epoch epoch) const;
+
+    /** Whether the server may be in the group by its record in the log. */
+    bool isBoundByRecord(const backend_registry::entry &entry, group_epoch epoch) const;
+
+    /** Whether the server is in no group that it reports whose head may serve. */
+    bool isReleasedByReport(const backend_registry::entry &entry) const;
+
+    /** The latest recorded group of the server; zero for none. */
+    group_epoch recordedEpoch(const backend_id &backend) const;
+
     /** Whether the server is in no group whose head may serve. */
     bool isReleased(const backend_registry::entry &entry) const;
 
@@ -67,13 +86,21 @@
         time_point at;
     };
 
+    /** The latest group in the log that a server is a member of, and the run of the server that was chosen for it. */
+    struct recorded_membership {
+        group_epoch epoch;
+        std::int64_t startedAt = 0;
+    };
+
     bool hasLeft(const backend_registry::entry &entry) const;
+    bool isReportOutdated(const backend_registry::entry &entry) const;
 
     std::set<group_epoch> m_ended;
     std::set<group_epoch> m_abandoned;
     std::set<group_epoch> m_serving; /**< Groups whose head announces that it serves. */
     std::map<group_epoch, time_point> m_headClosedAt;
     std::map<backend_id, confirmed_leave> m_left;
+    std::map<backend_id, recorded_membership> m_recorded;
 };
 
 } // namespace carawayloft
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -32,6 +32,12 @@
 struct group_control_began {
     log_term term;
     std::vector<engine_group> inherited;
+    std::vector<engine_group_record> recorded{}; /**< In the replicated log. */
+};
+
+/** The groups in the replicated log are now these. */
+struct groups_recorded {
+    std::vector<engine_group_record> groups;
 };
 
 struct group_control_ended {
@@ -42,7 +48,7 @@
     order_outcome outcome = order_outcome::Unanswered;
 };
 
-using group_controller_input = std::variant<reconcile_groups, group_control_began, group_control_ended, order_finished>;
+using group_controller_input = std::variant<reconcile_groups, group_control_began, groups_recorded, group_control_ended, order_finished>;
 
 // Outputs.
 
@@ -64,6 +70,12 @@
     const char *reason = "";
 };
 
+/** A change of the groups in the replicated log; proposed again until it is made. */
+struct group_records_proposed {
+    std::vector<engine_group_record> formed; /**< No server is ordered to join them before they are in the log. */
+    std::vector<group_epoch> retired;
+};
+
 /** What the allocation assumes and plans for one model. */
 struct model_assessed {
     model_id model;
@@ -73,11 +85,13 @@
     double onTimeShare = 0.0; /**< Fraction of the demand that the groups are expected to serve in time. */
 };
 
-using group_controller_output = std::variant<engine_order_requested, group_changed, group_retired, model_assessed>;
+using group_controller_output = std::variant<engine_order_requested, group_changed, group_retired, group_records_proposed, model_assessed>;
 
 /**
  * Forms, opens, closes and repairs groups of engines. The engines hold the membership, so a new leader
- * recovers it from their reports. Epochs derive from the term of the replicated log, which only increases.
+ * recovers it from their reports. A group that will open is in the replicated log before any server is ordered to
+ * join it, and until its head is known not to serve, so that a new leader knows each group that may be open. Epochs derive from the term of the replicated log,
+ * which only increases.
  */
 class group_controller
 {
@@ -110,6 +124,7 @@
         tracked_order closeOrder;
         bool inherited = false; /**< Formed by another leader, which mirrored it. */
         bool incomplete = false; /**< Adopted from the report of its head; some other members have not announced themselves yet. */
+        std::optional<time_point> recordProposedAt;
         bool preempt = false;
         time_point preemptedAt; /**< When running requests were first given up, if preempt. */
         time_point phaseStartedAt; /**< Start of the current phase. */
@@ -143,6 +158,11 @@
         group_epoch epoch; /**< Zero for no group. */
         backend_id backend;
     };
+    /** A group in the log whose head may serve, but that this leader orders no more. */
+    struct given_up_group {
+        time_point at;
+        std::optional<time_point> closeOrderedAt; /**< When its head was ordered to close, if it has answered that. */
+    };
     using domain_pools = std::map<fabric_domain_id, domain_pool>;
 
     /** Servers of one fabric domain that came recently; more may follow. */
@@ -153,6 +173,7 @@
 
     void handle(const reconcile_groups &in);
     void handle(const group_control_began &in);
+    void handle(const groups_recorded &in);
     void handle(const group_control_ended &in);
     void handle(const order_finished &in);
     void recordAnswer(const order_target &target, const order_finished &in);
@@ -185,6 +206,20 @@
     bool completeAdopted(managed_group &each);
     const model_profile *findProfile(const service_id &service, const model_id &model) const;
 
+    // Groups in the replicated log.
+    void takeRecords(const std::vector<engine_group_record> &records);
+    void inherit(const engine_group &group);
+    void adoptRecordedGroups();
+    void adoptRecorded(const engine_group_record &record);
+    void release(const engine_group_record &record);
+    void giveUp(group_epoch epoch, std::optional<time_point> closeOrderedAt);
+    managed_group &insertRecorded(const engine_group_record &record);
+    bool isSuperseded(const engine_group_record &record) const;
+    bool isRecorded(const managed_group &each) const;
+    bool isOver(const engine_group_record &record) const;
+    engine_group_record recordOf(const managed_group &each) const;
+    void proposeRecords();
+
     // Formation.
     void reconcileService(const service_settings &service);
     bool serversStillRegistering();
@@ -241,6 +276,10 @@
     std::map<backend_id, staging> m_staging;
     std::map<order_id, order_target> m_pendingOrders;
     group_closure m_closure;
+    time_point m_beganAt;
+    std::map<group_epoch, engine_group_record> m_recorded; /**< Groups in the replicated log. */
+    std::map<group_epoch, time_point> m_removalProposedAt;
+    std::map<group_epoch, given_up_group> m_givenUp;
     std::map<backend_id, departure_order> m_departures; /**< Last order to leave to each server. */
     std::size_t m_registeredCount = 0; /**< Backend servers in the registry at the last check of their number. */
     time_point m_lastRegisteredAt; /**< When that number last changed. */
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -68,7 +68,7 @@
         m_registry.step(mirrored_backend_record{each}, m_now);
     }
     m_trafficStarted = m_trafficStarted || !inherited.groups.empty();
-    stepController(group_control_began{m_term, inherited.groups});
+    stepController(group_control_began{m_term, inherited.groups, m_recordedGroups});
     m_out.emplace_back(mirror_fleet{snapshot(m_now)});
     reconcile();
 }
@@ -97,6 +97,21 @@
     stepRegistry(departures_recorded{in.departures}, "departure recorded");
 }
 
+void fleet_pipe::handle(const engine_groups_changed &in)
+{
+    m_recordedGroups = in.groups;
+    if (m_leads) {
+        stepController(groups_recorded{in.groups});
+        reconcile();
+    }
+}
+
+void fleet_pipe::handle(const leader_lease_changed &in)
+{
+    m_holdsLease = in.held;
+    reconcile();
+}
+
 void fleet_pipe::handle(const check_in_received &in)
 {
     const bool known
@@ -324,8 +339,12 @@
 
 void fleet_pipe::reconcile()
 {
-    if (m_leads) {
-        m_reconcileDue = m_now + reconcilePeriod;
+    if (!m_leads) {
+        return;
+    }
+    m_reconcileDue = m_now + reconcilePeriod;
+    // Without the lease another replica may order the same engines, and nothing is decided that would need an order.
+    if (m_holdsLease) {
         stepController(reconcile_groups{{m_registry, m_services, m_zonesOut, m_trafficStarted, totalTraffic(), trafficConfidence()}});
     }
 }
@@ -354,6 +373,11 @@
     publish(std::move(change));
 }
 
+void fleet_pipe::forward(const group_records_proposed &out)
+{
+    m_out.emplace_back(out);
+}
+
 void fleet_pipe::forward(const model_assessed &out)
 {
     m_out.emplace_back(out);
--- a/src/fleet_pipe/group_closure.cpp
+++ b/src/fleet_pipe/group_closure.cpp
@@ -8,11 +8,41 @@
     return report.state == membership_state::Open || report.state == membership_state::Closing;
 }
 
+const char *describe(closure_proof proof)
+{
+    switch (proof) {
+    case closure_proof::None:
+        break;
+    case closure_proof::Reported:
+        return "the head reported that it stopped serving";
+    case closure_proof::Confirmed:
+        return "the head confirmed that it stopped serving";
+    case closure_proof::Restarted:
+        return "the head restarted";
+    case closure_proof::Replaced:
+        return "a later server uses the address of the head";
+    }
+    return "unknown";
+}
+
 void group_closure::clear()
 {
     *this = group_closure();
 }
 
+void group_closure::setRecords(const std::vector<engine_group_record> &records)
+{
+    m_recorded.clear();
+    for (const engine_group_record &group : records) {
+        for (const engine_member_record &member : group.members) {
+            recorded_membership &latest = m_recorded[member.backend];
+            if (latest.epoch < group.epoch) {
+                latest = {group.epoch, member.startedAt};
+            }
+        }
+    }
+}
+
 void group_closure::observe(const backend_registry &registry)
 {
     m_serving.clear();
@@ -21,7 +51,7 @@
         const bool isPresent = entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining;
         const auto closed = m_headClosedAt.find(report.epoch);
         const bool isOutdated = closed != m_headClosedAt.end() && entry.heardAt <= closed->second;
-        if (isPresent && report.rank == 0 && !isOutdated && reportsServing(report)) {
+        if (isPresent && report.rank == 0 && !isOutdated && !isReportOutdated(entry) && reportsServing(report)) {
             m_serving.insert(report.epoch);
         }
     }
@@ -55,7 +85,8 @@
     if (head.entry == nullptr) {
         return closure_proof::None;
     }
-    if (head.startedAt && head.entry->record.startedAt != *head.startedAt) {
+    // An order to join that was repeated after a restart may have reached the later run, which is in the group again then.
+    if (head.startedAt && head.entry->record.startedAt > *head.startedAt && head.entry->record.membership.epoch != head.epoch) {
         return closure_proof::Restarted;
     }
     if (head.entry->replaced) {
@@ -91,10 +122,45 @@
     return left != m_left.end() && left->second.epoch == entry.record.membership.epoch && entry.heardAt <= left->second.at;
 }
 
-bool group_closure::isReleased(const backend_registry::entry &entry) const
+bool group_closure::hasEnded(group_epoch epoch) const
+{
+    return m_ended.contains(epoch) && !serves(epoch);
+}
+
+group_epoch group_closure::recordedEpoch(const backend_id &backend) const
+{
+    const auto recorded = m_recorded.find(backend);
+    return recorded == m_recorded.end() ? group_epoch() : recorded->second.epoch;
+}
+
+/** Whether the server has been chosen for a later group than it reports: it was free of the reported one by then. */
+bool group_closure::isReportOutdated(const backend_registry::entry &entry) const
+{
+    const auto recorded = m_recorded.find(entry.record.backend);
+    return recorded != m_recorded.end() && entry.record.startedAt <= recorded->second.startedAt && entry.record.membership.epoch < recorded->second.epoch;
+}
+
+bool group_closure::isBoundByRecord(const backend_registry::entry &entry, group_epoch epoch) const
+{
+    const auto recorded = m_recorded.find(entry.record.backend);
+    const bool isMember = recorded != m_recorded.end() && recorded->second.epoch == epoch && entry.record.startedAt <= recorded->second.startedAt;
+    // Epochs of one server only grow, so a later one shows that it is out of this group.
+    if (!isMember || entry.record.membership.epoch > epoch || hasEnded(epoch)) {
+        return false;
+    }
+    const auto left = m_left.find(entry.record.backend);
+    return left == m_left.end() || left->second.epoch < epoch;
+}
+
+bool group_closure::isReleasedByReport(const backend_registry::entry &entry) const
 {
     const group_epoch epoch = entry.record.membership.epoch;
-    return epoch.value() == 0 || hasLeft(entry) || (m_ended.contains(epoch) && !serves(epoch));
+    return epoch.value() == 0 || isReportOutdated(entry) || hasLeft(entry) || hasEnded(epoch);
+}
+
+bool group_closure::isReleased(const backend_registry::entry &entry) const
+{
+    return isReleasedByReport(entry) && !isBoundByRecord(entry, recordedEpoch(entry.record.backend));
 }
 
 } // namespace carawayloft
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -49,13 +49,12 @@
     m_rebalancedAt = m_now;
     m_plans.clear();
     m_arrivals.clear();
+    m_beganAt = m_now;
+    m_removalProposedAt.clear();
+    m_givenUp.clear();
+    takeRecords(in.recorded);
     for (const engine_group &each : in.inherited) {
-        managed_group group;
-        group.group = each;
-        group.inherited = true;
-        group.phaseStartedAt = m_now;
-        group.deadline = m_now + openTimeout;
-        insertGroup(std::move(group));
+        inherit(each);
     }
 }
 
@@ -127,6 +126,7 @@
     m_context.emplace(in.context);
     m_closure.observe(m_context->registry);
     adoptReportedGroups();
+    adoptRecordedGroups();
     std::vector<group_epoch> epochs;
     epochs.reserve(m_groups.size());
     for (const auto &[epoch, each] : m_groups) {
@@ -143,6 +143,7 @@
             reconcileService(service);
         }
     }
+    proposeRecords();
 }
 
 const backend_registry::entry *group_controller::findEntry(const backend_id &backend) const
@@ -181,7 +182,8 @@
 {
     const group_epoch epoch = group.group.epoch;
     for (const backend_id &member : group.group.members) {
-        m_memberOf[member] = epoch;
+        group_epoch &latest = m_memberOf[member];
+        latest = std::max(latest, epoch); // An earlier group may be closed while its servers are in a later one already.
     }
     return m_groups.insert_or_assign(epoch, std::move(group)).first->second;
 }
@@ -231,7 +233,7 @@
         if (entry == nullptr || entry->record.state == backend_state::Lost || entry->record.state == backend_state::Left) {
             return "a member was lost";
         }
-        if (i < each.startedAt.size() && entry->record.startedAt != each.startedAt[i]) {
+        if (i < each.startedAt.size() && entry->record.startedAt > each.startedAt[i]) {
             return "a member restarted";
         }
     }
@@ -268,6 +270,9 @@
         abandonFormation(each, "formation failed or timed out");
         return;
     }
+    if (!isRecorded(each)) {
+        return;
+    }
     bool ready = true;
     for (const backend_id &member : each.group.members) {
         const membership_report &report = findEntry(member)->record.membership;
@@ -298,6 +303,9 @@
         close(each, true, "the head did not open in time");
         return;
     }
+    if (!isRecorded(each)) {
+        return;
+    }
     // The order is repeated until the head reports that it serves: an answer only confirms receipt.
     each.openOrder.answered = each.openOrder.answered && m_now < each.openOrder.sentAt + orderResendDelay;
     send(each.openOrder, each.group.epoch, each.group.head(), open_group{each.group.epoch}, openResendDelay);
--- a/src/fleet_pipe/group_controller_adoption.cpp
+++ b/src/fleet_pipe/group_controller_adoption.cpp
@@ -18,7 +18,7 @@
         const bool usable = entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining;
         const auto standby = m_standby.find(id);
         const bool isStandby = standby != m_standby.end() && standby->second.epoch == report.epoch;
-        if (usable && !isStandby && !m_groups.contains(report.epoch) && !m_closure.isReleased(entry)) {
+        if (usable && !isStandby && !m_groups.contains(report.epoch) && !m_closure.isReleasedByReport(entry)) {
             seen[report.epoch].emplace(report.rank, id);
         }
     }
@@ -39,7 +39,10 @@
     }
     const backend_record &record = findEntry(head->second)->record;
     if (record.membership.state != membership_state::Open && record.membership.state != membership_state::Closing) {
-        m_closure.recordEnd(epoch);
+        // The head of a recorded group may have been told to open since it announced this.
+        if (!m_recorded.contains(epoch)) {
+            m_closure.recordEnd(epoch);
+        }
         return;
     }
     managed_group group;
--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -18,24 +18,6 @@
 /** Time for which plans and formation wait for members that were told to leave: with all of them there is less to load, and one plan does. */
 static constexpr duration leaveAnswerTime{150};
 
-/** Reason for the end of a group, as logged; only for proofs. */
-static const char *describe(closure_proof proof)
-{
-    switch (proof) {
-    case closure_proof::None:
-        break;
-    case closure_proof::Reported:
-        return "the head reported that it stopped serving";
-    case closure_proof::Confirmed:
-        return "the head confirmed that it stopped serving";
-    case closure_proof::Restarted:
-        return "the head restarted";
-    case closure_proof::Replaced:
-        return "a later server uses the address of the head";
-    }
-    return "unknown";
-}
-
 /** Takes the group out of the records. Its members are free only as far as m_closure says so. */
 void group_controller::dissolve(group_epoch epoch, const char *reason)
 {
@@ -113,12 +95,13 @@
 void group_controller::abandon(managed_group &each, const char *reason)
 {
     const engine_group group = each.group;
-    m_closure.recordAbandoned(group.epoch);
+    giveUp(group.epoch, each.closeOrder.answered ? each.closeOrder.firstSentAt : std::nullopt);
     dissolve(group.epoch, reason);
     for (const backend_id &member : group.members) {
         const backend_registry::entry *entry = findEntry(member);
         const bool isPresent = entry != nullptr && (entry->record.state == backend_state::Ready || entry->record.state == backend_state::Draining);
-        if (member != group.head() && isPresent && entry->record.membership.epoch == group.epoch) {
+        const bool mayBeIn = isPresent && (entry->record.membership.epoch == group.epoch || m_closure.isBoundByRecord(*entry, group.epoch));
+        if (member != group.head() && mayBeIn) {
             orderToLeave(member, group.epoch);
         }
     }
@@ -141,7 +124,8 @@
     return std::any_of(m_departures.begin(), m_departures.end(), [&](const auto &each) {
         const auto &[backend, leaving] = each;
         const backend_registry::entry *entry = m_now < leaving.requestedAt + leaveAnswerTime ? findEntry(backend) : nullptr;
-        return entry != nullptr && entry->record.membership.epoch == leaving.epoch && !m_closure.isReleased(*entry);
+        const bool mayBeIn = entry != nullptr && (entry->record.membership.epoch == leaving.epoch || m_closure.isBoundByRecord(*entry, leaving.epoch));
+        return mayBeIn && !m_closure.isReleased(*entry);
     });
 }
 
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -105,6 +105,8 @@
 
     // The fleet pipe, which controls the backend servers.
     void runFleet(const fleet_pipe_input &in);
+    void stepFleet(const fleet_pipe_input &in);
+    void updateLeaderLease();
     void execute(const publish_to_gateway &out);
     void execute(const grant_to_gateway &out);
     void execute(const mirror_fleet &out);
@@ -113,6 +115,7 @@
     void execute(const log_backend_change &out);
     void execute(const group_changed &out);
     void execute(const group_retired &out);
+    void execute(const group_records_proposed &out);
     void execute(const model_assessed &out);
     void execute(const crash_recorded &out);
     void execute(const trait_suspected &out);
@@ -174,10 +177,12 @@
     std::unique_ptr<http_server> m_metricsHttp;
     fleet_pipe m_fleet;
     bool m_isFleetLeader = false;
+    bool m_holdsLeaderLease = false; /**< As the fleet pipe was told last. */
     configuration_version m_configurationVersion;
     std::set<availability_zone_id> m_zonesOutOfService;
     std::set<service_trait> m_quarantinedTraits;
     std::vector<departure_record> m_departures;
+    revision m_engineGroupsRevision; /**< Of the groups that the fleet pipe was told last. */
     revision m_publishedRevision; /**< All changes up to this revision have been sent to the subscribers. */
     peer_links m_peers;
     std::unique_ptr<http_client> m_engineClient;
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -26,11 +26,30 @@
     if (isWaitingForDisk() && !isHarmless) {
         return;
     }
+    if (!isWaitingForDisk()) {
+        updateLeaderLease();
+    }
+    stepFleet(in);
+}
+
+void control_task::stepFleet(const fleet_pipe_input &in)
+{
     for (const fleet_pipe_output &each : m_fleet.step(in, monotonicNow())) {
         std::visit([this](const auto &out) { execute(out); }, each);
     }
 }
 
+/** Tells the fleet pipe of the leader lease before each input, so that it orders nothing once the lease has ended. */
+void control_task::updateLeaderLease()
+{
+    const bool holds = m_pipe && m_pipe->log().holdsLeaderLease(monotonicNow());
+    if (holds != m_holdsLeaderLease) {
+        m_holdsLeaderLease = holds;
+        logEvent(event_number::EngineOrdersAllowed, {{"allowed", holds ? 1 : 0}, {"term", m_pipe->log().term()}});
+        stepFleet(leader_lease_changed{holds});
+    }
+}
+
 void control_task::execute(const publish_to_gateway &out)
 {
     m_links.send(out.gateway, out.publication);
@@ -130,6 +149,16 @@
     logEvent(event_number::EngineGroupRetired, {{"group", out.epoch}, {"reason", out.reason}});
 }
 
+void control_task::execute(const group_records_proposed &out)
+{
+    logEvent(event_number::EngineGroupsProposed, {{"formed", out.formed.size()}, {"retired", out.retired.size()}});
+    record_engine_groups change{out.formed, {}};
+    for (const group_epoch &each : out.retired) {
+        change.retired.push_back({each});
+    }
+    run(operator_change{operator_request_token(), fleet_command{{}, "group control", {}, std::move(change)}, true});
+}
+
 void control_task::execute(const model_assessed &out)
 {
     static constexpr double thousand = 1'000.0;
@@ -175,6 +204,8 @@
     const bool isLeader = m_pipe->log().role() == log_role::Leader;
     const bool isFleetLeader = isLeader && (m_isFleetLeader || m_pipe->log().holdsLeaderLease(monotonicNow()));
     if (isFleetLeader != m_isFleetLeader) {
+        // With the lease, all that earlier leaders committed is applied here; a new leader begins with the groups among it.
+        updateFleetConfiguration();
         m_isFleetLeader = isFleetLeader;
         logEvent(event_number::FleetLed, {{"leads", isFleetLeader ? 1 : 0}, {"term", m_pipe->log().term()}});
         runFleet(leadership_changed{isFleetLeader, m_pipe->log().term()});
@@ -222,6 +253,14 @@
         m_departures.assign(departures.begin(), departures.end());
         runFleet(departures_changed{m_departures});
     }
+    if (m_engineGroupsRevision != state.engineGroupsChangedAt()) {
+        m_engineGroupsRevision = state.engineGroupsChangedAt();
+        engine_groups_changed changed;
+        for (const auto &[epoch, record] : state.engineGroups()) {
+            changed.groups.push_back(record);
+        }
+        runFleet(changed);
+    }
 }
 
 std::vector<endpoint> control_task::replicaFrameEndpoints() const
--- a/tests/fleet/group_closure_test.cpp
+++ b/tests/fleet/group_closure_test.cpp
@@ -115,3 +115,56 @@
     announce("head", 0, membership_state::Open);
     EXPECT_FALSE(closure.isReleased(entry("member")));
 }
+
+namespace {
+
+/** The log has a later group of both servers, which they have not reported. */
+class RecordedGroup : public GroupClosure
+{
+protected:
+    RecordedGroup()
+    {
+        announce("head", 0, membership_state::Ready);
+        closure.recordEnd(epoch);
+        closure.setRecords({{later, service_id("s"), model_id("m"), {{backend_id("head"), 1}, {backend_id("member"), 1}}}});
+        closure.observe(registry);
+    }
+
+    const group_epoch later{8};
+};
+
+} // namespace
+
+TEST_F(RecordedGroup, BindsItsServersWhateverTheyLastReported)
+{
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    EXPECT_TRUE(closure.isBoundByRecord(entry("member"), later));
+    EXPECT_FALSE(closure.isBoundByRecord(entry("member"), epoch));
+    announce("member", 0, membership_state::None, 1, {}); // Perhaps older than the order to join.
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+}
+
+TEST_F(RecordedGroup, ReleasesAServerThatHasLeftItOrStartedAgainOrJoinedALaterOne)
+{
+    closure.recordLeft(backend_id("member"), later, now);
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+    EXPECT_FALSE(closure.isReleased(entry("head")));
+    announce("head", 0, membership_state::None, 2, {});
+    EXPECT_TRUE(closure.isReleased(entry("head")));
+}
+
+TEST_F(RecordedGroup, ReleasesItsServersOnceItHasEnded)
+{
+    closure.recordEnd(later);
+    EXPECT_TRUE(closure.isReleased(entry("head")));
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+}
+
+// Guards against a repeated order to join that reaches a head after its restart: the later run may serve the group.
+TEST_F(RecordedGroup, ALaterStartOfItsHeadProvesNothingIfItReportsTheGroup)
+{
+    announce("head", 0, membership_state::Ready, 2, later);
+    EXPECT_EQ(closure.proofFor({later, &entry("head"), 1, {}}), closure_proof::None);
+    announce("head", 0, membership_state::None, 2, {});
+    EXPECT_EQ(closure.proofFor({later, &entry("head"), 1, {}}), closure_proof::Restarted);
+}
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -53,7 +53,7 @@
 
     void lead(std::uint64_t term, std::vector<engine_group> inherited = {})
     {
-        run(group_control_began{log_term(term), std::move(inherited)});
+        run(group_control_began{log_term(term), std::move(inherited), records()});
     }
 
     /** Lets every reachable engine report, then the controller reconcile and the engines execute its orders, @p times times. */
@@ -144,6 +144,8 @@
     std::set<backend_id> unanswering; /**< Engines that execute orders, but whose answers are lost. */
     bool trafficStarted = true; /**< Whether callers may have sent requests. */
     duration stagingTime{0}; /**< To load a model to a host. */
+    bool commits = true; /**< Whether the replicated log takes what the controller proposes. */
+    std::map<group_epoch, engine_group_record> recorded; /**< In the replicated log. */
     std::size_t orders = 0;
     std::map<model_id, model_assessed> assessed; /**< Last report of each model. */
 
@@ -156,10 +158,36 @@
                 deliver(*order);
             } else if (const auto *report = std::get_if<model_assessed>(&each)) {
                 assessed[report->model] = *report;
+            } else if (const auto *proposal = std::get_if<group_records_proposed>(&each)) {
+                commit(*proposal);
             }
         }
     }
 
+    void commit(const group_records_proposed &proposal)
+    {
+        if (!commits) {
+            return;
+        }
+        for (const group_epoch &each : proposal.retired) {
+            recorded.erase(each);
+        }
+        for (const engine_group_record &each : proposal.formed) {
+            recorded.emplace(each.epoch, each);
+        }
+        run(groups_recorded{records()});
+        reconcile();
+    }
+
+    std::vector<engine_group_record> records() const
+    {
+        std::vector<engine_group_record> all;
+        for (const auto &[epoch, record] : recorded) {
+            all.push_back(record);
+        }
+        return all;
+    }
+
     void deliver(const engine_order_requested &order)
     {
         fake_engine_state &engine = engines.at(order.backend);
--- a/tests/support/replica_pair.h
+++ b/tests/support/replica_pair.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/control/fleet_state.h>
 #include <carawayloft/fleet/fleet_pipe.h>
 
 #include "support/service_builder.h"
@@ -45,9 +46,43 @@
 
     void lead(std::size_t replica, std::uint64_t term)
     {
+        step(replica, leader_lease_changed{true});
         step(replica, leadership_changed{true, log_term(term)});
     }
 
+    void loseLease(std::size_t replica)
+    {
+        step(replica, leader_lease_changed{false});
+    }
+
+    /** The leader learns that it leads no more, and hears the other replica again. */
+    void stepDown(std::size_t replica, std::uint64_t term)
+    {
+        loseLease(replica);
+        step(replica, leadership_changed{false, log_term(term)});
+        step(replica, recordedGroups());
+    }
+
+    void restoreLog(const fleet_snapshot &snapshot)
+    {
+        log.restore(snapshot);
+        for (std::size_t i = 0; i < m_pipes.size(); ++i) {
+            step(i, recordedGroups());
+        }
+    }
+
+    /** The engine starts again, in no group. */
+    void restart(const backend_id &backend)
+    {
+        engine_state &engine = engines.at(backend);
+        ++engine.record.startedAt;
+        engine.record.announcement = 0;
+        engine.record.membership = {};
+        engine.members.clear();
+        engine.highestEpoch = {};
+        engine.highestFence = {};
+    }
+
     /** What the engine would announce now. */
     backend_record announce(const backend_id &backend)
     {
@@ -100,11 +135,14 @@
         std::vector<backend_id> members; /**< Of its group. */
         group_epoch highestEpoch;
         log_term highestFence;
+        bool takesOrders = true;
     };
 
     std::map<backend_id, engine_state> engines;
+    fleet_state log; /**< What both replicas have applied of the replicated log. */
     time_point now{std::chrono::hours(1)};
-    bool isCut = false; /**< The old leader reaches no other replica. */
+    std::optional<std::size_t> cutReplica; /**< Reaches no other replica, so it commits nothing and mirrors nothing. */
+    bool mirrors = true; /**< Whether what a leader mirrors arrives. */
     std::array<std::size_t, 2> orders{}; /**< Sent by each replica. */
     std::size_t violations = 0; /**< Joins taken while the head of the engine's other group was open. */
 
@@ -112,22 +150,60 @@
     void step(std::size_t replica, const fleet_pipe_input &in)
     {
         std::deque<order_finished> answers;
+        std::deque<group_records_proposed> proposals;
         for (const fleet_pipe_output &each : m_pipes[replica].step(in, now)) {
             if (const auto *order = std::get_if<send_engine_order>(&each)) {
                 ++orders[replica];
                 answers.push_back({order->order, execute(*order)});
-            } else if (const auto *mirrored = std::get_if<mirror_fleet>(&each); mirrored != nullptr && !isCut) {
+            } else if (const auto *mirrored = std::get_if<mirror_fleet>(&each); mirrored != nullptr && cutReplica != replica && mirrors) {
                 m_pipes[1 - replica].step(fleet_mirrored{mirrored->publication}, now);
+            } else if (const auto *proposal = std::get_if<group_records_proposed>(&each)) {
+                proposals.push_back(*proposal);
             }
         }
         for (const order_finished &each : answers) {
             step(replica, each);
         }
+        commit(replica, proposals);
+    }
+
+    /** A replica that reaches no other one commits nothing. */
+    void commit(std::size_t replica, const std::deque<group_records_proposed> &proposals)
+    {
+        if (proposals.empty() || cutReplica == replica) {
+            return;
+        }
+        for (const group_records_proposed &each : proposals) {
+            record_engine_groups change{each.formed, {}};
+            for (const group_epoch &epoch : each.retired) {
+                change.retired.push_back({epoch});
+            }
+            log.apply(fleet_command{{}, "group control", {}, std::move(change)}, revision(log.at().value() + 1));
+        }
+        const engine_groups_changed changed = recordedGroups();
+        for (std::size_t i = 0; i < m_pipes.size(); ++i) {
+            if (cutReplica != i) {
+                step(i, changed);
+            }
+        }
+    }
+
+    engine_groups_changed recordedGroups() const
+    {
+        engine_groups_changed changed;
+        for (const auto &[epoch, record] : log.engineGroups()) {
+            changed.groups.push_back(record);
+        }
+        return changed;
     }
 
     order_outcome execute(const send_engine_order &order)
     {
-        engine_state &engine = engines.at(order.backend);
+        const auto found = engines.find(order.backend);
+        if (found == engines.end() || !found->second.takesOrders) {
+            return order_outcome::Unanswered;
+        }
+        engine_state &engine = found->second;
         if (order.fence < engine.highestFence) {
             return order_outcome::Fenced;
         }
