Control: open recorded groups are published at the first announcement of their head

Cause: the group was completed as if it were new. Besides, a group that was given up stayed in the log for ever if a late join had put the restarted run of its head into it: that run was neither bound by the record nor told to close. Change: an inherited group whose head reports that it serves is open at once, and members bound by the record get the time of an adopted group to announce themselves. A head that reports a group which was given up is closed.

--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -273,6 +273,13 @@
     if (!isRecorded(each)) {
         return;
     }
+    const membership_report &head = findEntry(each.group.head())->record.membership;
+    if (each.inherited && head.epoch == epoch && head.state == membership_state::Open) {
+        // Its members were ready when it was told to open, so traffic need not wait for their announcements.
+        each.incomplete = true;
+        setPhase(each, group_phase::Open, "the head serves");
+        return;
+    }
     bool ready = true;
     for (const backend_id &member : each.group.members) {
         const membership_report &report = findEntry(member)->record.membership;
@@ -321,7 +328,11 @@
         return;
     }
     for (const backend_id &member : each.group.members) {
-        const membership_report &report = findEntry(member)->record.membership;
+        const backend_registry::entry &entry = *findEntry(member);
+        const membership_report &report = entry.record.membership;
+        if (each.incomplete && m_closure.isBoundByRecord(entry, each.group.epoch)) {
+            continue; // It may not have announced itself since it joined.
+        }
         if (report.epoch != each.group.epoch) {
             close(each, true, "a member reports another group or none");
             return;
--- a/src/fleet_pipe/group_controller_records.cpp
+++ b/src/fleet_pipe/group_controller_records.cpp
@@ -143,19 +143,25 @@
     return entry != nullptr && (entry->record.state == backend_state::Ready || entry->record.state == backend_state::Draining);
 }
 
+/** Whether the server may be in the group, by what it reports or by its record. */
+static bool mayBeIn(const group_closure &closure, const backend_registry::entry &entry, group_epoch epoch)
+{
+    return (entry.record.membership.epoch == epoch && !closure.isReleasedByReport(entry)) || closure.isBoundByRecord(entry, epoch);
+}
+
 /** Has the members of a group that was given up leave it, and closes it again once its head is heard. */
 void group_controller::release(const engine_group_record &record)
 {
     const time_point givenUpAt = m_givenUp.try_emplace(record.epoch, given_up_group{m_now, std::nullopt}).first->second.at;
     const backend_id &headId = record.members.front().backend;
     const backend_registry::entry *head = findEntry(headId);
-    if (isPresent(head) && head->heardAt > givenUpAt && m_closure.isBoundByRecord(*head, record.epoch)) {
+    if (isPresent(head) && head->heardAt > givenUpAt && mayBeIn(m_closure, *head, record.epoch)) {
         close(insertRecorded(record), true, "its head is heard again");
         return;
     }
     for (const engine_member_record &each : record.members) {
         const backend_registry::entry *entry = findEntry(each.backend);
-        if (each.backend != headId && isPresent(entry) && m_closure.isBoundByRecord(*entry, record.epoch)) {
+        if (each.backend != headId && isPresent(entry) && mayBeIn(m_closure, *entry, record.epoch)) {
             orderToLeave(each.backend, record.epoch);
         }
     }
@@ -187,7 +193,7 @@
     }
     return std::none_of(record.members.begin(), record.members.end(), [&](const engine_member_record &each) {
         const backend_registry::entry *entry = findEntry(each.backend);
-        return entry != nullptr && (entry->record.membership.epoch == record.epoch || m_closure.isBoundByRecord(*entry, record.epoch));
+        return entry != nullptr && mayBeIn(m_closure, *entry, record.epoch);
     });
 }
 
--- a/tests/fleet/leader_handover_test.cpp
+++ b/tests/fleet/leader_handover_test.cpp
@@ -81,6 +81,8 @@
     replicas.receive(replica_pair::newLeader, beforeAnyJoin);
     ASSERT_EQ(replicas.groups(replica_pair::newLeader).size(), 1U);
     EXPECT_EQ(replicas.groups(replica_pair::newLeader).front().epoch, epoch);
+    replicas.receive(replica_pair::newLeader, replicas.announce(replicas.groups(replica_pair::newLeader).front().head()));
+    EXPECT_EQ(replicas.groups(replica_pair::newLeader).front().phase, group_phase::Open) << "callers wait for announcements of other members";
     replicas.settle(replica_pair::newLeader, 5);
     EXPECT_EQ(replicas.violations, 0U);
     ASSERT_EQ(replicas.groups(replica_pair::newLeader).size(), 1U);
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -144,7 +144,6 @@
     std::set<backend_id> unanswering; /**< Engines that execute orders, but whose answers are lost. */
     bool trafficStarted = true; /**< Whether callers may have sent requests. */
     duration stagingTime{0}; /**< To load a model to a host. */
-    bool commits = true; /**< Whether the replicated log takes what the controller proposes. */
     std::map<group_epoch, engine_group_record> recorded; /**< In the replicated log. */
     std::size_t orders = 0;
     std::map<model_id, model_assessed> assessed; /**< Last report of each model. */
@@ -166,9 +165,6 @@
 
     void commit(const group_records_proposed &proposal)
     {
-        if (!commits) {
-            return;
-        }
         for (const group_epoch &each : proposal.retired) {
             recorded.erase(each);
         }
