--- a/include/carawayloft/core/ids.h
+++ b/include/carawayloft/core/ids.h
@@ -60,6 +60,9 @@
 
 using request_id = strong_type<struct request_id_tag, std::uint64_t>;
 
+/** Priority of a request in admission and dispatch; 0 is the highest rank. */
+using request_rank = strong_type<struct request_rank_tag, std::uint32_t>;
+
 /** Identifies one run of a process; a restarted process has a new one. */
 using incarnation = strong_type<struct incarnation_tag, std::uint64_t>;
 
--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -91,6 +91,24 @@
     }
 };
 
+/** First attempts for a model by rank and client account, averaged over the last seconds. */
+struct class_demand {
+    model_id model;
+    request_rank rank;
+    client_account_id account; /**< Empty for requests without an access key, and for the sum over other accounts. */
+    double requestsPerSecond = 0.0;
+    std::uint32_t otherAccounts = 0; /**< If not zero, the entry is the sum over this many accounts without an entry. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"model", &class_demand::model},
+                          field{"rank", &class_demand::rank},
+                          field{"account", &class_demand::account},
+                          field{"requests_per_second", &class_demand::requestsPerSecond},
+                          field{"other_accounts", &class_demand::otherAccounts});
+    }
+};
+
 /** A request that a backend server had not begun to answer when it closed the connection. */
 struct exposed_request {
     std::vector<request_trait> traits; /**< The request as a whole comes first. */
@@ -167,6 +185,7 @@
     std::vector<request_limit_report> requestLimits; /**< Those that differ from what control has published. */
     std::vector<leaving_backend> leaving; /**< Backend servers that control still publishes as ready. */
     std::vector<backend_id> answering; /**< Backend servers outside groups that have answered lately. */
+    std::vector<class_demand> classDemand;
 
     static constexpr auto fields()
     {
@@ -179,7 +198,8 @@
                           field{"survivals", &gateway_report::survivals},
                           field{"request_limits", &gateway_report::requestLimits},
                           field{"leaving", &gateway_report::leaving},
-                          field{"answering", &gateway_report::answering});
+                          field{"answering", &gateway_report::answering},
+                          field{"class_demand", &gateway_report::classDemand});
     }
 };
 
@@ -205,6 +225,7 @@
     std::vector<model_traffic> modelTraffic; /**< Demand at all gateways, this one included. */
     std::vector<service_trait> suspects{}; /**< Traits that several crashes have in common. */
     std::vector<request_share> requestShares{}; /**< Of published request limits; of those that are missing, this gateway has no share. */
+    std::vector<class_demand> classDemand{}; /**< Demand at all gateways, this one included. */
 
     static constexpr auto fields()
     {
@@ -216,7 +237,8 @@
                           field{"replicas", &gateway_grant::replicas},
                           field{"asked", &gateway_grant::modelTraffic},
                           field{"suspects", &gateway_grant::suspects},
-                          field{"request_shares", &gateway_grant::requestShares});
+                          field{"request_shares", &gateway_grant::requestShares},
+                          field{"class_demand", &gateway_grant::classDemand});
     }
 };
 
--- /dev/null
+++ b/src/gateway_pipe/group_peak_rates.cpp
@@ -0,0 +1,29 @@
+#include <carawayloft/gateway/group_peak_rates.h>
+
+#include <carawayloft/fleet/group_goodput.h>
+
+#include <algorithm>
+
+namespace carawayloft {
+
+void group_peak_rates::setTraffic(const std::vector<model_traffic> &traffic)
+{
+    m_traffic.clear();
+    for (const model_traffic &each : traffic) {
+        m_traffic[each.model] = each;
+    }
+}
+
+std::optional<double> group_peak_rates::peakRate(const engine_profile &engine, const model_profile &model) const
+{
+    const auto found = m_traffic.find(model.model);
+    return found == m_traffic.end() ? std::nullopt : std::optional(group_goodput(engine, model, found->second).peakRate());
+}
+
+double group_peak_rates::groupsForRate(const engine_profile &engine, const model_profile &model, double requestsPerSecond) const
+{
+    const std::optional<double> peak = requestsPerSecond > 0.0 ? peakRate(engine, model) : std::nullopt;
+    return peak ? std::min(1.0, requestsPerSecond / *peak) : 1.0;
+}
+
+} // namespace carawayloft
