Control sums the demand by rank and account

Callers saw: each gateway could divide the capacity only by what it saw itself. Cause: grants carried the total demand for a model. Change: control keeps class_demand of each report and sends the sum in grants, with at most 64 accounts for a model; the sum is used again for 100 ms, since with 390 gateways it has 25,000 entries or more.

--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -44,6 +44,7 @@
         std::set<backend_id> unreachable;
         std::set<backend_id> answering; /**< Servers outside groups that answer it. */
         std::vector<model_traffic> modelTraffic;
+        std::vector<class_demand> classDemand;
     };
     /** Probes of one backend server by this replica. */
     struct probe_record {
@@ -92,6 +93,7 @@
     std::uint32_t countRecentGateways();
     std::vector<request_share> sharesOf(link_id gateway);
     fleet_traffic totalTraffic() const;
+    const std::vector<class_demand> &totalClassDemand();
     double trafficConfidence() const;
 
     time_point m_now;
@@ -113,6 +115,8 @@
     std::vector<service_settings> m_services;
     std::set<availability_zone_id> m_zonesOut;
     std::map<link_id, gateway> m_gateways;
+    std::vector<class_demand> m_classDemand; /**< Sum over the gateways, as of m_classDemandAt. */
+    std::optional<time_point> m_classDemandAt;
     std::deque<time_point> m_gatewaysLost; /**< Disconnects within the window of the shared limits. */
     std::map<probe_id, backend_id> m_probes;
     std::map<backend_id, probe_record> m_probeRecords;
--- a/src/fleet_pipe/fleet_pipe_gateways.cpp
+++ b/src/fleet_pipe/fleet_pipe_gateways.cpp
@@ -1,5 +1,7 @@
 #include <carawayloft/fleet/fleet_pipe.h>
 
+#include <carawayloft/fleet/class_demand_sum.h>
+
 #include <algorithm>
 
 // What gateways report, and what they are granted.
@@ -12,6 +14,12 @@
 /** A gateway that disconnected within this time still counts, since it may have used its part of the shared limits. */
 static constexpr duration sharedLimitWindow{10'000};
 
+/**
+ * Time for which a sum of the demand by rank and account is used again. Every gateway reports four times a second, and
+ * with hundreds of gateways a sum has tens of thousands of entries.
+ */
+static constexpr duration classDemandTime{100};
+
 /** Time from the first known traffic until the gateways' averages represent the full demand. */
 static constexpr std::chrono::duration<double> trafficAveragingTime{9.0};
 
@@ -39,6 +47,7 @@
     found->second.heardAt = m_now;
     found->second.loads = in.report.loads;
     found->second.modelTraffic = in.report.modelTraffic;
+    found->second.classDemand = in.report.classDemand;
     found->second.answering = {in.report.answering.begin(), in.report.answering.end()};
     found->second.unreachable = {in.report.unreachable.begin(), in.report.unreachable.end()};
     const bool serves = std::any_of(in.report.loads.begin(), in.report.loads.end(), [](const group_load &each) { return each.running > 0; });
@@ -77,6 +86,7 @@
     for (const auto &[model, demand] : totalTraffic()) {
         grant.modelTraffic.push_back(demand);
     }
+    grant.classDemand = totalClassDemand();
     m_out.emplace_back(grant_to_gateway{in.gateway, std::move(grant)});
     for (const backend_id &each : in.report.unreachable) {
         handleUnreachableReport(each);
@@ -122,6 +132,23 @@
     return std::min(1.0, std::chrono::duration<double>(m_now - m_trafficStartedAt) / trafficAveragingTime);
 }
 
+/** Demand at all gateways by model, rank and account. */
+const std::vector<class_demand> &fleet_pipe::totalClassDemand()
+{
+    if (m_classDemandAt && m_now < *m_classDemandAt + classDemandTime) {
+        return m_classDemand;
+    }
+    class_demand_sum sum;
+    for (const auto &[link, each] : m_gateways) {
+        for (const class_demand &part : each.classDemand) {
+            sum.add(part);
+        }
+    }
+    m_classDemand = sum.entries();
+    m_classDemandAt = m_now;
+    return m_classDemand;
+}
+
 /** Demand at all gateways: summed request rates, and averages weighted by them. */
 fleet_traffic fleet_pipe::totalTraffic() const
 {
--- a/tests/codec/frame_codec_test.cpp
+++ b/tests/codec/frame_codec_test.cpp
@@ -79,6 +79,25 @@
     EXPECT_EQ(byNewer->process, "");
 }
 
+TEST(FrameCodec, ReportsAndGrantsCarryTheDemandByRankAndAccount)
+{
+    gateway_grant grant;
+    grant.classDemand = {{model_id("m"), request_rank(2), client_account_id("a"), 1.5, 3}};
+    const auto decoded = flat::decode<gateway_grant>(flat::encode(grant));
+    ASSERT_TRUE(decoded);
+    ASSERT_EQ(decoded->classDemand.size(), 1U);
+    EXPECT_EQ(decoded->classDemand.front().model, model_id("m"));
+    EXPECT_EQ(decoded->classDemand.front().rank, request_rank(2));
+    EXPECT_EQ(decoded->classDemand.front().account, client_account_id("a"));
+    EXPECT_EQ(decoded->classDemand.front().requestsPerSecond, 1.5);
+    EXPECT_EQ(decoded->classDemand.front().otherAccounts, 3U);
+    gateway_report report;
+    report.classDemand = grant.classDemand;
+    const auto decodedReport = flat::decode<gateway_report>(flat::encode(report));
+    ASSERT_TRUE(decodedReport);
+    EXPECT_EQ(decodedReport->classDemand.size(), 1U);
+}
+
 TEST(FrameCodec, NamesEveryKindOfMessage)
 {
     EXPECT_STREQ(kindOf(hello{}), "hello");
--- a/tests/fleet/fleet_pipe_test.cpp
+++ b/tests/fleet/fleet_pipe_test.cpp
@@ -28,6 +28,9 @@
             if (const auto *probe = std::get_if<probe_backend>(&each)) {
                 probes.push_back(probe->probe);
             }
+            if (const auto *granted = std::get_if<grant_to_gateway>(&each)) {
+                lastGrant = granted->grant;
+            }
         }
     }
 
@@ -53,6 +56,7 @@
     fleet_pipe pipe;
     time_point now{std::chrono::hours(1)};
     std::vector<probe_id> probes;
+    gateway_grant lastGrant;
 };
 
 } // namespace
@@ -74,3 +78,43 @@
     step(gateway_reported{link_id(1), report, revision(), {}});
     EXPECT_EQ(state(), backend_state::Draining);
 }
+
+static gateway_report reportDemand(const std::string &account, double requestsPerSecond)
+{
+    gateway_report report;
+    report.classDemand = {{model_id("m"), request_rank(1), client_account_id(account), requestsPerSecond, 0}};
+    return report;
+}
+
+// Guards against gateways that share the capacity by what each sees alone, and against sums that keep a gateway that is gone.
+TEST_F(FleetPipe, GrantsCarryTheDemandOfAllGatewaysByRankAndAccount)
+{
+    step(gateway_reported{link_id(1), reportDemand("a", 3.0), revision(), {}});
+    now += duration(250);
+    step(gateway_reported{link_id(2), reportDemand("a", 4.0), revision(), {}});
+    ASSERT_EQ(lastGrant.classDemand.size(), 1U);
+    EXPECT_DOUBLE_EQ(lastGrant.classDemand.front().requestsPerSecond, 7.0);
+    EXPECT_EQ(lastGrant.classDemand.front().rank, request_rank(1));
+    step(gateway_lost{link_id(1)});
+    now += duration(250);
+    step(gateway_reported{link_id(2), reportDemand("b", 5.0), revision(), {}});
+    ASSERT_EQ(lastGrant.classDemand.size(), 1U);
+    EXPECT_EQ(lastGrant.classDemand.front().account, client_account_id("b"));
+}
+
+// Guards against grants without bound, with 390 gateways that report 64 accounts of their own each.
+TEST_F(FleetPipe, TheGrantedDemandIsBoundedHoweverManyAccountsThereAre)
+{
+    for (std::uint64_t gateway = 1; gateway <= 390; ++gateway) {
+        gateway_report report;
+        for (int i = 0; i < 64; ++i) {
+            report.classDemand.push_back({model_id("m"), request_rank(1), client_account_id(std::to_string(gateway) + "/" + std::to_string(i)), 1.0, 0});
+        }
+        step(gateway_reported{link_id(gateway), report, revision(), {}});
+    }
+    now += duration(250);
+    step(gateway_reported{link_id(1), reportDemand("a", 1'000.0), revision(), {}});
+    ASSERT_EQ(lastGrant.classDemand.size(), 65U);
+    EXPECT_DOUBLE_EQ(lastGrant.classDemand.front().requestsPerSecond, 1'000.0);
+    EXPECT_EQ(lastGrant.classDemand.back().otherAccounts, 389U * 64U + 1U - 64U);
+}
