Priorities are validated with their bounds, and urgency is encoded for engines

Callers saw: a priority of 3,000,000 was accepted without a word, and engines served urgent requests in the order in which they arrived. Cause: priorities were read as counts and not used; no urgency was sent. Change: a priority of a route or account that is not an integer from 0 to 1,000 is refused with the field named, in the configuration's own validation too. call_backend has an urgency, which platform/ encodes; a value that the caller sends is dropped.

--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -93,6 +93,7 @@
     duration timeLeft{0};
     std::optional<stream_event_id> resumeAfter;
     bool freshConnection = false; /**< A pooled connection may be dead, or hold an earlier refusal; either way it is unknown whether the request runs. */
+    std::optional<std::uint32_t> urgency{}; /**< For the order of requests at an engine, from 0 (goes first) to 9; nothing where all have the same rank. */
 };
 
 struct cancel_call {
--- a/include/carawayloft/service/service_configuration.h
+++ b/include/carawayloft/service/service_configuration.h
@@ -32,7 +32,7 @@
     duration timeLimit{0}; /**< Longest time that a caller waits for the answer. */
     duration objective{0}; /**< Latency objective for the answer, or for the first event of a stream. */
     duration longestPause{0}; /**< Objective for the time between events of a stream; zero for none. */
-    std::uint32_t priority = 0; /**< 0 is the most urgent. */
+    std::uint32_t priority = 0; /**< 0 is the highest rank. */
     std::uint32_t attempts = 1; /**< How many backend servers may run one request. */
     bool isPublic = false; /**< Requests need no access key. */
     bool resumable = false; /**< Another backend server may continue a stream. */
@@ -95,6 +95,9 @@
     duration idleTimeout{0};
 };
 
+/** Greatest priority of a route or client account. */
+inline constexpr std::uint32_t maxPriority = 1'000;
+
 /** Content of a configuration before validation. */
 struct configuration_fields {
     configuration_version version;
@@ -112,7 +115,7 @@
     /**
      * Fails with InvalidRequest if a route refers to an unknown service, two routes have the same host and path prefix,
      * the weights of a route sum to zero, a time limit is not positive, a path prefix does not begin and end with a slash,
-     * or two accounts have the same key.
+     * a priority is above maxPriority, or two accounts have the same key.
      */
     static result<service_configuration> create(configuration_fields fields);
 
--- a/src/service_pipe/service_configuration.cpp
+++ b/src/service_pipe/service_configuration.cpp
@@ -10,6 +10,14 @@
     return error{error_kind::InvalidRequest, std::move(what), std::move(remedy)};
 }
 
+static status checkPriority(const std::string &field, const std::string &owner, std::uint32_t priority)
+{
+    if (priority > maxPriority) {
+        return invalid(field + " of '" + owner + "' is " + std::to_string(priority), "set it to an integer from 0 to " + std::to_string(maxPriority));
+    }
+    return {};
+}
+
 static status checkTargets(const service_route &route, const std::vector<service_settings> &services)
 {
     std::uint64_t totalWeight = 0;
@@ -34,6 +42,9 @@
     if (route.pathPrefix.empty() || route.pathPrefix.front() != '/' || route.pathPrefix.back() != '/') {
         return invalid("the path prefix of route '" + route.name + "' is '" + route.pathPrefix + "'", "begin and end it with a slash");
     }
+    if (status checked = checkPriority("routes.priority", route.name, route.priority); failed(checked)) {
+        return checked;
+    }
     return checkTargets(route, services);
 }
 
@@ -41,6 +52,9 @@
 {
     std::set<access_key> keys;
     for (const account_settings &account : accounts) {
+        if (status checked = checkPriority("tenants.priority", account.account.value(), account.priority.value_or(0)); failed(checked)) {
+            return checked;
+        }
         for (const access_key &key : account.keys) {
             if (!keys.insert(key).second) {
                 return invalid("client account '" + account.account.value() + "' has an access key of another account", "give each account its own keys");
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -192,6 +192,41 @@
     EXPECT_FALSE(frontEnd().encodeBackendCall(makeCallerRequest(), call_backend{}).headers.contains(platform::wire::tenant));
 }
 
+// Guards against callers that put themselves before others at the engines.
+TEST(FrontEnd, StatesTheUrgencyToBackendsAndDropsThatOfCallers)
+{
+    http_request request = makeCallerRequest();
+    request.headers[platform::wire::requestUrgency] = "0";
+    call_backend call;
+    EXPECT_FALSE(frontEnd().encodeBackendCall(request, call).headers.contains(platform::wire::requestUrgency));
+    call.urgency = 7;
+    EXPECT_EQ(frontEnd().encodeBackendCall(request, call).headers.at("X-Carawayloft-Request-Urgency"), "7");
+}
+
+// Guards against a priority that is ignored or wrapped: the error names the field, and the configuration is refused whole.
+TEST(FrontEnd, RefusesAPriorityThatIsNoIntegerWithinItsBounds)
+{
+    for (const char *list : {"routes", "tenants"}) {
+        for (const nlohmann::json &value :
+             {nlohmann::json("high"), nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json(1'001), nlohmann::json(std::uint64_t{1} << 33U)}) {
+            nlohmann::json document = makeConfiguration();
+            document[list][0]["priority"] = value;
+            const auto read = frontEnd().readConfiguration(document.dump());
+            ASSERT_TRUE(failed(read)) << list << value;
+            EXPECT_NE(errorOf(read).what.find(std::string(list) + ".priority"), std::string::npos) << errorOf(read).what;
+        }
+        nlohmann::json document = makeConfiguration();
+        document[list][0]["priority"] = 1'000;
+        EXPECT_FALSE(failed(frontEnd().readConfiguration(document.dump()))) << list;
+    }
+    nlohmann::json document = makeConfiguration();
+    document["tenants"][0].erase("priority");
+    const auto read = frontEnd().readConfiguration(document.dump());
+    ASSERT_FALSE(failed(read));
+    EXPECT_EQ(valueOf(read).accounts()[0].priority, std::nullopt);
+    EXPECT_EQ(valueOf(read).routes()[1].priority, 0U);
+}
+
 TEST(FrontEnd, DecodesBackendAnswers)
 {
     const http_request request = makeCallerRequest();
--- a/tests/service/service_configuration_test.cpp
+++ b/tests/service/service_configuration_test.cpp
@@ -52,6 +52,24 @@
     EXPECT_FALSE(isValid(fields));
 }
 
+// Guards against a mistyped priority that silently puts a route or an account behind all others.
+TEST(ServiceConfiguration, RefusesAPriorityAboveTheGreatestAndNamesTheField)
+{
+    configuration_fields fields = makeFields();
+    fields.routes[1].priority = maxPriority;
+    fields.accounts.front().priority = maxPriority;
+    EXPECT_TRUE(isValid(fields));
+    fields.routes[1].priority = maxPriority + 1;
+    const auto badRoute = service_configuration::create(fields);
+    ASSERT_TRUE(failed(badRoute));
+    EXPECT_NE(errorOf(badRoute).what.find("routes.priority of 'sign'"), std::string::npos) << errorOf(badRoute).what;
+    fields.routes[1].priority = 0;
+    fields.accounts.front().priority = maxPriority + 1;
+    const auto badAccount = service_configuration::create(fields);
+    ASSERT_TRUE(failed(badAccount));
+    EXPECT_NE(errorOf(badAccount).what.find("tenants.priority of 'firm'"), std::string::npos) << errorOf(badAccount).what;
+}
+
 TEST(ServiceConfiguration, RefusesAPrefixWithoutATrailingSlash)
 {
     configuration_fields fields = makeFields();
