Gateways admit by rank and account in place of load_shedder

Callers saw: under overload the highest rank was served worst, an account was rejected as often as one that asked for ten times more, and callers came back at random times. The log did not say why a request was rejected. Cause: load_shedder admitted one fraction for a model, up to 1.1 of the peak rate for first attempts and 1.5 with returning requests. Change: gateway_pipe asks admission_control with rank and account, reports its demand by both, names Retry-After from retry_schedule, sends waiting requests by rank, and passes the urgency on to engines. Each rejection for lack of capacity is the event admission_refused. load_shedder and its tests go; each case of them is now in AdmissionControl, AdmissionShares or GroupPeakRates. The sum of both kinds of requests stays within the peak rate. The capacity is assessed every 100 ms and after each grant, not for each request. Demand is counted only for models that the service has, since callers may name any.

--- a/include/carawayloft/gateway/admission_control.h
+++ b/include/carawayloft/gateway/admission_control.h
@@ -17,8 +17,8 @@
 class admission_control
 {
 public:
-    using input = admission_input;
-    using output = admission_output;
+    using input = admission_control_input;
+    using output = admission_control_output;
 
     /** @p seed should differ between gateways, so that they do not admit their few requests of an account in step. */
     explicit admission_control(std::uint64_t seed);
@@ -41,7 +41,7 @@
         bool hasDemand = false;
         double firstAttempts = 0.0; /**< At all gateways by the last grant, per second. */
         double returning = 0.0;
-        std::vector<class_demand> classes;
+        std::shared_ptr<const admission_demand> demand; /**< The mix of ranks and accounts; its sum may differ from firstAttempts. */
         time_point grantedAt;
         double ownAtGrant = 0.0; /**< First attempts at this gateway when the grant came, per second. */
         double own = 0.0;
@@ -50,7 +50,7 @@
         time_point assessedAt;
         std::optional<double> capacity;
         std::optional<admission_shares> shares; /**< For what is known now; computed when next needed. */
-        double scale = 1.0; /**< Of the granted demand in the shares. */
+        double scale = 1.0; /**< First attempts over those by the last grant, when the shares were computed. */
         std::map<account_class, double> credits; /**< What is left of the fractions of earlier requests. */
         double returningCredit = 0.0;
         retry_schedule schedule;
@@ -63,7 +63,7 @@
     void handle(const unserved_request &in);
 
     model_state &stateOf(const model_id &model);
-    void applyDemand(model_state &state, const model_traffic &traffic, const std::vector<class_demand> &classes) const;
+    void applyDemand(model_state &state, const model_traffic &traffic, std::vector<class_demand> classes) const;
     const admission_shares &sharesOf(model_state &state) const;
     double &creditOf(model_state &state, const admission_request &request);
     bool take(double &credit, double share) const;
--- a/include/carawayloft/gateway/admission_messages.h
+++ b/include/carawayloft/gateway/admission_messages.h
@@ -43,7 +43,7 @@
     admission_request request;
 };
 
-using admission_input = std::variant<demand_granted, own_demand_measured, capacity_assessed, admission_request, unserved_request>;
+using admission_control_input = std::variant<demand_granted, own_demand_measured, capacity_assessed, admission_request, unserved_request>;
 
 // Outputs.
 
@@ -57,6 +57,6 @@
     bool hasSlot = false; /**< Capacity is expected to be free after that time. */
 };
 
-using admission_output = std::variant<admission_decision>;
+using admission_control_output = std::variant<admission_decision>;
 
 } // namespace carawayloft
--- a/include/carawayloft/gateway/admission_shares.h
+++ b/include/carawayloft/gateway/admission_shares.h
@@ -1,17 +1,12 @@
 #pragma once
 
-#include <carawayloft/fleet/fleet_messages.h>
+#include <carawayloft/gateway/admission_demand.h>
 
+#include <memory>
 #include <vector>
 
 namespace carawayloft {
 
-/** Rates of requests for one model at all gateways. */
-struct admission_demand {
-    std::vector<class_demand> firstAttempts; /**< Of this model only. */
-    double returningPerSecond = 0.0; /**< Requests that return after a rejection. */
-};
-
 /** Fractions of the requests for one model to admit; the rest is rejected on arrival. */
 class admission_shares
 {
@@ -21,9 +16,9 @@
 
     /**
      * Divides @p capacity, in requests per second: ranks in order, max-min fairly among the accounts of a rank, with a
-     * floor for each account, and returning requests last.
+     * floor for each account, and last the @p returningPerSecond requests that return after a rejection.
      */
-    admission_shares(double capacity, const admission_demand &demand);
+    admission_shares(double capacity, std::shared_ptr<const admission_demand> demand, double returningPerSecond);
 
     /** Of the first attempts of an account. An account without demand so far is treated like the smallest. */
     double of(request_rank rank, const client_account_id &account) const;
@@ -34,29 +29,14 @@
         return m_returning;
     }
 
-    /** Rate that first attempts leave to returning requests, per second. */
-    double freeRate() const
-    {
-        return m_freeRate;
-    }
-
 private:
-    struct account_share {
-        client_account_id account;
-        double share = 1.0;
-    };
-    struct rank_shares {
-        request_rank rank;
-        std::vector<account_share> accounts; /**< In order of the account. */
-        double others = 1.0; /**< Of accounts without an entry. */
-    };
-
-    rank_shares divide(request_rank rank, const std::vector<const class_demand *> &classes, double allotment) const;
-
-    std::vector<rank_shares> m_ranks;
+    void divide(const admission_demand::rank_classes &rank, double allotment);
+
+    std::shared_ptr<const admission_demand> m_demand;
+    std::vector<double> m_shares; /**< By position of the class in the demand. */
+    std::vector<double> m_shareOfOthers; /**< By position of the rank: of accounts without an entry. */
     double m_overall = 1.0; /**< Of all first attempts. */
     double m_returning = 1.0;
-    double m_freeRate = 0.0;
 };
 
 } // namespace carawayloft
--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -134,6 +134,19 @@
     std::uint32_t attempt = 1;
 };
 
+/** A request for a model is rejected for lack of capacity, and what the decision was based on. */
+struct admission_refused {
+    request_id request;
+    model_id model;
+    request_rank rank;
+    client_account_id account; /**< Empty if the route needs no key. */
+    bool isReturning = false; /**< Rejected before. */
+    double share = 1.0; /**< Fraction of the requests of this rank and account that is admitted. */
+    double capacity = 0.0; /**< Of all groups of the model, in requests per second; zero if unknown. */
+    double demand = 0.0; /**< First attempts at all gateways, per second; zero if unknown. */
+    bool hasSlot = false; /**< Capacity is expected to be free at the time that the caller is told. */
+};
+
 /** A call failed and its request is dispatched again. */
 struct call_repeated {
     request_id request;
@@ -212,6 +225,7 @@
                                          revision_ignored,
                                          requests_drained,
                                          backend_chosen,
+                                         admission_refused,
                                          call_repeated,
                                          unanswered_call_lost,
                                          backend_limit_observed,
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -2,14 +2,17 @@
 
 #include <carawayloft/control/published_fleet.h>
 #include <carawayloft/fleet/backend_view.h>
+#include <carawayloft/gateway/admission_control.h>
 #include <carawayloft/gateway/backend_notices.h>
+#include <carawayloft/gateway/class_meter.h>
 #include <carawayloft/gateway/crash_witness.h>
 #include <carawayloft/gateway/fleet_limiter.h>
 #include <carawayloft/gateway/gateway_messages.h>
 #include <carawayloft/gateway/group_monitor.h>
+#include <carawayloft/gateway/group_peak_rates.h>
 #include <carawayloft/gateway/limit_observations.h>
-#include <carawayloft/gateway/load_shedder.h>
 #include <carawayloft/gateway/relay_window.h>
+#include <carawayloft/gateway/request_rank.h>
 #include <carawayloft/gateway/stream_splice.h>
 #include <carawayloft/gateway/traffic_meter.h>
 #include <carawayloft/service/route_table.h>
@@ -68,6 +71,7 @@
         const service_route *route = nullptr;
         const service_settings *service = nullptr;
         client_account_id account;
+        request_rank rank;
         time_point arrivedAt;
         time_point deadline; /**< Earlier of the time limits of caller and route. */
         bool isLate = false; /**< Rejected before or delayed at startup, so it can hardly meet its objective. */
@@ -125,8 +129,15 @@
     std::optional<error> resolve(request_context &context, std::uint32_t &status);
     const service_settings *chooseService(const service_route &route, const service_configuration &configuration);
     void recordTraffic(const request_context &context);
-    bool shouldShed(const request_context &context);
     const model_profile *modelOf(const request_context &context) const;
+    dispatch_precedence precedenceOf(const request_context &context) const;
+
+    // Admission.
+    bool isRefused(request_context &context);
+    std::optional<double> capacityOf(const request_context &context, const model_profile &model);
+    admission_request admissionRequestOf(const request_context &context) const;
+    void rejectForOverload(request_context &context, error why);
+    void rejectByAdmission(request_context &context, error why, const admission_decision &decision);
     void reject(request_context &context, std::uint32_t status, error why, run_outcome outcome, duration retryAfter);
     void finish(request_id request, bool whole);
 
@@ -144,7 +155,6 @@
     void handleCallFailure(request_context &context, bool mayHaveRun, std::string reason);
     void waitForBackend(request_context &context);
     void giveUp(request_context &context);
-    duration drawRetryAfter();
     void checkTimeouts(request_context &context);
     bool canMove(request_context &context);
 
@@ -214,7 +224,11 @@
     route_table m_routes;
     fleet_limiter m_limiter;
     traffic_meter m_trafficMeter;
-    load_shedder m_loadShedder;
+    class_meter m_classMeter;
+    group_peak_rates m_peakRates;
+    admission_control m_admission;
+    retry_schedule m_retrySchedule; /**< For services without models, whose capacity is not known. */
+    urgency_scale m_urgencies;
     crash_witness m_crashWitness;
     limit_observations m_limitObservations;
     backend_notices m_notices;
--- a/include/carawayloft/gateway/group_peak_rates.h
+++ b/include/carawayloft/gateway/group_peak_rates.h
@@ -17,9 +17,6 @@
     /** Nothing while the traffic for the model is unknown. */
     std::optional<double> peakRate(const engine_profile &engine, const model_profile &model) const;
 
-    /** How many groups a head that takes this many requests per second counts for at most; zero stands for no limit. */
-    double groupsForRate(const engine_profile &engine, const model_profile &model, double requestsPerSecond) const;
-
 private:
     fleet_traffic m_traffic;
 };
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -53,6 +53,8 @@
         return {"backend_leaving_observed", severity::Info};
     case event_number::BackendRefusalObserved:
         return {"backend_refusal_observed", severity::Info};
+    case event_number::AdmissionRefused:
+        return {"admission_refused", severity::Info};
     case event_number::WorkRefused:
         return {"work_refused", severity::Info};
     case event_number::LimitChanged:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -38,6 +38,7 @@
     BackendLimitObserved = 219,
     BackendLeavingObserved = 220,
     BackendRefusalObserved = 221,
+    AdmissionRefused = 222,
     WorkRefused = 300,
     LimitChanged = 301,
     BackendAnnounced = 302,
--- a/src/gateway_pipe/admission_control.cpp
+++ b/src/gateway_pipe/admission_control.cpp
@@ -18,8 +18,8 @@
  */
 static constexpr double maxGrantStep = 2.0;
 
-/** Time for which an assessed capacity is used. Adding it up takes longer than one decision may. */
-static constexpr duration capacityTime{20};
+/** Time for which an assessed capacity is used. Adding it up over all groups takes longer than one decision may. */
+static constexpr duration capacityTime{100};
 
 /** Time after which the state of a model that is no longer in demand is dropped. */
 static constexpr duration idleTime{10'000};
@@ -69,7 +69,7 @@
         state.gateways = std::max(in.gateways, 1U);
         std::vector<class_demand> classes;
         std::copy_if(in.classes.begin(), in.classes.end(), std::back_inserter(classes), [&](const class_demand &part) { return part.model == each.model; });
-        applyDemand(state, each, classes);
+        applyDemand(state, each, std::move(classes));
     }
     for (auto &[model, state] : m_models) {
         if (!granted.contains(model)) {
@@ -83,8 +83,8 @@
     });
 }
 
-/** Takes over the rates of a grant. The mix of ranks and accounts is averaged over a longer time than the sum, so it is scaled to the sum. */
-void admission_control::applyDemand(model_state &state, const model_traffic &traffic, const std::vector<class_demand> &classes) const
+/** Takes over the rates of a grant. */
+void admission_control::applyDemand(model_state &state, const model_traffic &traffic, std::vector<class_demand> classes) const
 {
     double total = usableRate(traffic.recentRequestsPerSecond);
     double returning = usableRate(traffic.returningPerSecond);
@@ -92,29 +92,24 @@
         const double growth = state.ownAtGrant > 0.0 ? state.own / state.ownAtGrant : 1.0;
         const double highest = maxGrantStep * std::max(1.0, growth) * std::max(state.firstAttempts, state.capacity.value_or(0.0));
         const double lowest = state.firstAttempts * std::min(1.0, growth) / maxGrantStep;
-        const double bounded = std::clamp(total, std::min(lowest, highest), highest);
+        const double bounded = highest > 0.0 ? std::clamp(total, std::min(lowest, highest), highest) : total;
         returning *= total > 0.0 ? std::min(1.0, bounded / total) : 1.0;
         total = bounded;
     }
     total = std::max(total, state.own);
-    double sum = 0.0;
-    for (const class_demand &each : classes) {
-        sum += usableRate(each.requestsPerSecond);
-    }
-    state.classes = classes;
-    if (sum <= 0.0) {
-        state.classes = {{traffic.model, {}, {}, total, 1}}; // Reported by gateways that do not state ranks.
-    } else {
-        for (class_demand &each : state.classes) {
-            each.requestsPerSecond = usableRate(each.requestsPerSecond) * total / sum;
-        }
+    auto demand = std::make_shared<const admission_demand>(std::move(classes));
+    if (demand->requestsPerSecond() <= 0.0 && total > 0.0) {
+        // Reported by gateways that do not state ranks.
+        demand = std::make_shared<const admission_demand>(std::vector{class_demand{traffic.model, {}, {}, total, 1}});
     }
+    state.demand = std::move(demand);
     state.hasDemand = true;
     state.firstAttempts = total;
     state.returning = returning;
     state.grantedAt = m_now;
     state.ownAtGrant = state.own;
     state.shares.reset();
+    state.isAssessed = false; // The capacity depends on the traffic, too.
 }
 
 void admission_control::handle(const own_demand_measured &in)
@@ -152,11 +147,14 @@
     if (m_now >= state.grantedAt + maxGrantAge && state.ownAtGrant > 0.0) {
         state.scale = std::clamp(state.own / state.ownAtGrant, 1.0 / maxScale, maxScale);
     }
-    admission_demand demand{state.classes, state.returning * state.scale};
-    for (class_demand &each : demand.firstAttempts) {
-        each.requestsPerSecond *= state.scale;
+    const double firstAttempts = state.firstAttempts * state.scale;
+    if (firstAttempts <= 0.0 || state.demand->requestsPerSecond() <= 0.0) {
+        state.shares.emplace();
+        return *state.shares;
     }
-    state.shares.emplace(*state.capacity, demand);
+    // The mix is averaged over a longer time than the sum. Scaling the capacity to it gives the same shares as scaling the mix.
+    const double mixScale = state.demand->requestsPerSecond() / firstAttempts;
+    state.shares.emplace(*state.capacity * mixScale, state.demand, state.returning * state.scale * mixScale);
     return *state.shares;
 }
 
@@ -207,7 +205,8 @@
         const double equalPart = 1.0 / state.gateways;
         const double ownPart = decision.demand > 0.0 ? state.own / decision.demand : equalPart;
         // A caller returns once, so one that is rejected again gets no slot.
-        rate = request.isReturning ? 0.0 : sharesOf(state).freeRate() * std::clamp(ownPart, minPart * equalPart, 1.0);
+        const double freeRate = std::max(0.0, *state.capacity - decision.demand);
+        rate = request.isReturning ? 0.0 : freeRate * std::clamp(ownPart, minPart * equalPart, 1.0);
     }
     const retry_time named = state.schedule.next(rate, request.timeLeft, m_now);
     decision.retryAfter = named.after;
--- a/src/gateway_pipe/admission_shares.cpp
+++ b/src/gateway_pipe/admission_shares.cpp
@@ -1,9 +1,8 @@
 #include <carawayloft/gateway/admission_shares.h>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
-#include <map>
+#include <span>
 
 namespace carawayloft {
 
@@ -12,9 +11,6 @@
 static constexpr double minAccountShare = 0.3;
 static_assert(minAccountShare >= minRankShare, "the floor of the accounts keeps that of their rank, so only theirs is applied");
 
-/** Rates below this are rounding errors; a division by them gives no usable share. */
-static constexpr double minRate = 1e-6;
-
 /** Number of accounts that an entry stands for. */
 static double accountsOf(const class_demand &each)
 {
@@ -25,7 +21,7 @@
  * The rate per account up to which requests are admitted if the rates, each between its floor and its demand, sum to
  * @p allotment. The floor is the fraction @p floorShare of the demand.
  */
-static double fairRate(const std::vector<const class_demand *> &classes, double floorShare, double allotment)
+static double fairRate(std::span<const class_demand> classes, double floorShare, double allotment)
 {
     struct slope_change {
         double rate;
@@ -34,11 +30,11 @@
     std::vector<slope_change> changes;
     changes.reserve(2 * classes.size());
     double sum = 0.0;
-    for (const class_demand *each : classes) {
-        const double accounts = accountsOf(*each);
-        sum += floorShare * each->requestsPerSecond;
-        changes.push_back({floorShare * each->requestsPerSecond / accounts, accounts});
-        changes.push_back({each->requestsPerSecond / accounts, -accounts});
+    for (const class_demand &each : classes) {
+        const double accounts = accountsOf(each);
+        sum += floorShare * each.requestsPerSecond;
+        changes.push_back({floorShare * each.requestsPerSecond / accounts, accounts});
+        changes.push_back({each.requestsPerSecond / accounts, -accounts});
     }
     std::sort(changes.begin(), changes.end(), [](const slope_change &left, const slope_change &right) { return left.rate < right.rate; });
     double rate = 0.0;
@@ -55,65 +51,61 @@
     return std::numeric_limits<double>::infinity();
 }
 
-admission_shares::admission_shares(double capacity, const admission_demand &demand)
+admission_shares::admission_shares(double capacity, std::shared_ptr<const admission_demand> demand, double returningPerSecond)
+    : m_demand(std::move(demand))
+    , m_shares(m_demand->classes().size(), 1.0)
 {
-    std::map<request_rank, std::vector<const class_demand *>> ranks;
-    double total = 0.0;
-    for (const class_demand &each : demand.firstAttempts) {
-        if (std::isfinite(each.requestsPerSecond) && each.requestsPerSecond > minRate) {
-            ranks[each.rank].push_back(&each);
-            total += each.requestsPerSecond;
-        }
-    }
-    m_overall = total > capacity ? capacity / total : 1.0;
+    double lowerDemand = m_demand->requestsPerSecond();
+    m_overall = lowerDemand > capacity ? capacity / lowerDemand : 1.0;
+    const double floor = minAccountShare * m_overall;
     double left = capacity;
-    double lowerDemand = total;
-    for (const auto &[rank, classes] : ranks) {
-        double rankDemand = 0.0;
-        for (const class_demand *each : classes) {
-            rankDemand += each->requestsPerSecond;
-        }
-        lowerDemand = std::max(0.0, lowerDemand - rankDemand);
-        const double floor = minAccountShare * m_overall;
-        const double allotment = std::clamp(left - floor * lowerDemand, floor * rankDemand, rankDemand);
-        m_ranks.push_back(divide(rank, classes, allotment));
+    m_shareOfOthers.reserve(m_demand->ranks().size());
+    for (const admission_demand::rank_classes &rank : m_demand->ranks()) {
+        lowerDemand = std::max(0.0, lowerDemand - rank.requestsPerSecond);
+        const double allotment = std::clamp(left - floor * lowerDemand, floor * rank.requestsPerSecond, rank.requestsPerSecond);
+        divide(rank, allotment);
         left = std::max(0.0, left - allotment);
     }
-    m_freeRate = left;
-    m_returning = demand.returningPerSecond > left ? left / demand.returningPerSecond : 1.0;
+    m_returning = returningPerSecond > left ? left / returningPerSecond : 1.0;
 }
 
-admission_shares::rank_shares admission_shares::divide(request_rank rank, const std::vector<const class_demand *> &classes, double allotment) const
+void admission_shares::divide(const admission_demand::rank_classes &rank, double allotment)
 {
+    if (allotment >= rank.requestsPerSecond) {
+        m_shareOfOthers.push_back(1.0);
+        return;
+    }
     const double floor = minAccountShare * m_overall;
-    const double fair = fairRate(classes, floor, allotment);
-    rank_shares out{rank, {}, 0.0};
-    bool hasOthers = false;
+    const std::span<const class_demand> classes(m_demand->classes().data() + rank.begin, rank.end - rank.begin);
+    const double fair = allotment <= floor * rank.requestsPerSecond ? 0.0 : fairRate(classes, floor, allotment);
     double greatest = floor;
-    for (const class_demand *each : classes) {
-        const double share = std::clamp(fair * accountsOf(*each) / each->requestsPerSecond, floor, 1.0);
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        double &share = m_shares[rank.begin + i];
+        share = std::clamp(fair * accountsOf(classes[i]) / classes[i].requestsPerSecond, floor, 1.0);
         greatest = std::max(greatest, share);
-        if (each->otherAccounts > 0) {
-            hasOthers = true;
-            out.others = share;
-        } else {
-            out.accounts.push_back({each->account, share});
-        }
     }
-    out.others = hasOthers ? out.others : greatest;
-    std::sort(out.accounts.begin(), out.accounts.end(), [](const account_share &left, const account_share &right) { return left.account < right.account; });
-    return out;
+    const bool hasSumOfOthers = classes.back().otherAccounts > 0;
+    m_shareOfOthers.push_back(hasSumOfOthers ? m_shares[rank.end - 1] : greatest);
 }
 
 double admission_shares::of(request_rank rank, const client_account_id &account) const
 {
-    const auto ranked = std::find_if(m_ranks.begin(), m_ranks.end(), [&](const rank_shares &each) { return each.rank == rank; });
-    if (ranked == m_ranks.end()) {
+    if (m_demand == nullptr) {
+        return 1.0;
+    }
+    const auto &ranks = m_demand->ranks();
+    const auto ranked = std::find_if(ranks.begin(), ranks.end(), [&](const admission_demand::rank_classes &each) { return each.rank == rank; });
+    if (ranked == ranks.end()) {
         return m_overall;
     }
+    const auto first = m_demand->classes().begin() + static_cast<std::ptrdiff_t>(ranked->begin);
+    const auto last = m_demand->classes().begin() + static_cast<std::ptrdiff_t>(ranked->end);
     const auto found = std::lower_bound(
-        ranked->accounts.begin(), ranked->accounts.end(), account, [](const account_share &each, const client_account_id &id) { return each.account < id; });
-    return found == ranked->accounts.end() || found->account != account ? ranked->others : found->share;
+        first, last, account, [](const class_demand &each, const client_account_id &id) { return each.otherAccounts == 0 && each.account < id; });
+    if (found == last || found->otherAccounts > 0 || found->account != account) {
+        return m_shareOfOthers[static_cast<std::size_t>(ranked - ranks.begin())];
+    }
+    return m_shares[static_cast<std::size_t>(found - m_demand->classes().begin())];
 }
 
 } // namespace carawayloft
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -14,10 +14,6 @@
 /** Most of the route's time limit that a returning request has left. First attempts differ in their time limits, too, but not by so much. */
 static constexpr double maxReturningTimeShare = 0.8;
 
-/** Retry delay sent to rejected callers: about the time that the repair of a group takes, spread so that they do not return together. */
-static constexpr duration minRetryAfter{900};
-static constexpr duration maxRetryAfter{2'400};
-
 /** Retry delay while this process has no connection to control: about the time that finding a new leader takes. */
 static constexpr duration controlRetryAfter{800};
 
@@ -35,6 +31,8 @@
     : m_options(options)
     , m_random(options.seed)
     , m_limiter(options.limits, options.seed)
+    , m_admission(options.seed)
+    , m_retrySchedule(options.seed)
 {
 }
 
@@ -113,9 +111,7 @@
     m_limiter.countRequest(context.service->service, m_now);
     context.isLate = isReturning(in, *context.route) || m_now >= context.arrivedAt + context.route->objective;
     recordTraffic(context);
-    if (shouldShed(context)) {
-        const error overload{error_kind::Overloaded, "the groups of the model are overloaded", "retry after the stated time"};
-        reject(context, http_status::serviceUnavailable, overload, run_outcome::DidNotRun, drawRetryAfter());
+    if (isRefused(context)) {
         return;
     }
     context.waitDeadline = m_now + (context.isLate ? std::min(maxWait, limit / waitDivisor) : context.route->objective * 6 / 10);
@@ -146,6 +142,9 @@
             return error{error_kind::Unauthorized, "the access key is missing or unknown", "send the access key of a client account"};
         }
         context.account = account->account;
+        context.rank = rankOf(*context.route, account);
+    } else {
+        context.rank = rankOf(*context.route, nullptr);
     }
     context.service = chooseService(*context.route, *context.configuration);
     if (context.service == nullptr) {
@@ -165,33 +164,10 @@
     return found == models.end() ? nullptr : &*found;
 }
 
-/** Whether to reject the request on arrival, since the groups of its model cannot answer all requests in time. */
-bool gateway_pipe::shouldShed(const request_context &context)
-{
-    const model_profile *model = modelOf(context);
-    if (model == nullptr) {
-        return false;
-    }
-    double groups = 0.0;
-    for (const auto &[epoch, group] : m_view.groups()) {
-        const group_monitor *monitor = group.model == model->model && group.phase == group_phase::Open ? monitorFor(epoch) : nullptr;
-        if (monitor == nullptr || monitor->isSuspended(m_now)) {
-            continue;
-        }
-        const backend_view::backend *head = m_view.find(group.head());
-        if (head != nullptr && !acceptsRequests(*head)) {
-            continue;
-        }
-        const double limit = head == nullptr ? 0.0 : namedLimitOf(head->record);
-        groups += std::min(1.0 / monitor->slowdown(), m_loadShedder.groupsForRate(*context.service->engine, *model, limit));
-    }
-    return !m_loadShedder.admit(*context.service->engine, *model, groups, context.isLate);
-}
-
-/** Counts the request in the reported traffic of its model. */
+/** Counts the request in the reported traffic of its model. Models that the service does not have are left out, since callers may name any. */
 void gateway_pipe::recordTraffic(const request_context &context)
 {
-    if (context.service->engine && !context.request.model.value().empty()) {
+    if (modelOf(context) != nullptr) {
         if (context.isLate) {
             m_trafficMeter.countReturning(context.request.model, m_now);
             return;
@@ -199,6 +175,7 @@
         const bool hinted = context.request.expectedAnswerTokens > 0;
         const token_count answer = hinted ? context.request.expectedAnswerTokens : context.request.maxAnswerTokens;
         m_trafficMeter.count(context.request.model, context.request.promptTokens, answer, context.route->objective, m_now);
+        m_classMeter.count(context.request.model, context.rank, context.account, m_now);
     }
 }
 
@@ -277,28 +254,23 @@
 
 void gateway_pipe::dispatchWaiting()
 {
-    // Interrupted streams go first, then requests that can meet their objective. Within a class the newest goes first: in overload, oldest first would
-    // make all of them late.
-    std::vector<std::pair<int, request_id>> waiting;
+    // Within a class the newest goes first: in overload, oldest first would make all of them late.
+    std::vector<std::pair<dispatch_precedence, request_id>> waiting;
     waiting.reserve(m_waiting.size());
     for (const request_id &request : m_waiting) {
-        const request_context &context = m_activeRequests.at(request);
-        waiting.emplace_back(context.headRelayed ? 2 : (context.isLate ? 0 : 1), request);
+        waiting.emplace_back(precedenceOf(m_activeRequests.at(request)), request);
     }
-    std::sort(waiting.rbegin(), waiting.rend());
+    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first < right.first : left.second > right.second;
+    });
     m_waiting.clear();
-    for (const auto &[rank, request] : waiting) {
+    for (const auto &[precedence, request] : waiting) {
         if (const auto found = m_activeRequests.find(request); found != m_activeRequests.end() && found->second.call.value() == 0) {
             dispatch(found->second);
         }
     }
 }
 
-duration gateway_pipe::drawRetryAfter()
-{
-    return duration(std::uniform_int_distribution<duration::rep>(minRetryAfter.count(), maxRetryAfter.count())(m_random));
-}
-
 /** Ends a request that no backend server has answered completely. */
 void gateway_pipe::giveUp(request_context &context)
 {
@@ -317,11 +289,8 @@
                duration(0));
         return;
     }
-    reject(context,
-           http_status::serviceUnavailable,
-           {error_kind::Overloaded, context.lastFailure.empty() ? "no backend server is free" : context.lastFailure, "retry after the stated time"},
-           run_outcome::DidNotRun,
-           drawRetryAfter());
+    rejectForOverload(
+        context, {error_kind::Overloaded, context.lastFailure.empty() ? "no backend server is free" : context.lastFailure, "retry after the stated time"});
 }
 
 /** Whether another backend server would take the request now; the one that has it may be slow but sound. */
@@ -410,6 +379,7 @@
 void gateway_pipe::handle(const configuration_in_force &in)
 {
     m_routes = route_table(in.configuration);
+    m_urgencies = urgency_scale(*in.configuration);
 }
 
 } // namespace carawayloft
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -189,7 +189,8 @@
                       context.account,
                       timeLeft,
                       context.splice.lastEvent(),
-                      !context.route->allowsRetry() || context.triedBackends.contains(context.backend)});
+                      !context.route->allowsRetry() || context.triedBackends.contains(context.backend),
+                      context.group.value() != 0 ? m_urgencies.urgencyOf(precedenceOf(context)) : std::nullopt});
 }
 
 gateway_pipe::request_context *gateway_pipe::findByCall(backend_call_id call)
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -227,7 +227,8 @@
     }
     m_reportedAt.erase(m_reportedAt.begin(), std::next(reported));
     m_limiter.setGateways(grant.gateways, m_now);
-    m_loadShedder.setDemand(grant.modelTraffic);
+    m_peakRates.setTraffic(grant.modelTraffic);
+    m_admission.step(demand_granted{grant.modelTraffic, grant.classDemand, grant.gateways}, m_now);
     m_crashWitness.setSuspects(grant.suspects);
     m_requestShares.clear();
     for (const request_share &each : grant.requestShares) {
@@ -286,6 +287,8 @@
         report.unreachable.push_back(backend);
     }
     report.modelTraffic = m_trafficMeter.averages(m_now);
+    report.classDemand = m_classMeter.averages(m_now);
+    m_admission.step(own_demand_measured{report.modelTraffic}, m_now);
     report.exposures = m_crashWitness.takeExposures(m_now);
     report.survivals = m_crashWitness.survivals(m_now);
     report.requestLimits = m_limitObservations.report(m_now);
--- a/src/gateway_pipe/group_peak_rates.cpp
+++ b/src/gateway_pipe/group_peak_rates.cpp
@@ -2,8 +2,6 @@
 
 #include <carawayloft/fleet/group_goodput.h>
 
-#include <algorithm>
-
 namespace carawayloft {
 
 void group_peak_rates::setTraffic(const std::vector<model_traffic> &traffic)
@@ -20,10 +18,4 @@
     return found == m_traffic.end() ? std::nullopt : std::optional(group_goodput(engine, model, found->second).peakRate());
 }
 
-double group_peak_rates::groupsForRate(const engine_profile &engine, const model_profile &model, double requestsPerSecond) const
-{
-    const std::optional<double> peak = requestsPerSecond > 0.0 ? peakRate(engine, model) : std::nullopt;
-    return peak ? std::min(1.0, requestsPerSecond / *peak) : 1.0;
-}
-
 } // namespace carawayloft
--- a/src/tasks/gateway_task.h
+++ b/src/tasks/gateway_task.h
@@ -76,6 +76,7 @@
     void execute(const probe_backend &out);
     void execute(const requests_drained &out);
     void execute(const backend_chosen &out);
+    void execute(const admission_refused &out);
     void execute(const call_repeated &out);
     void execute(const unanswered_call_lost &out);
     void execute(const backend_limit_observed &out);
--- a/src/tasks/gateway_task_events.cpp
+++ b/src/tasks/gateway_task_events.cpp
@@ -18,6 +18,23 @@
               {"configuration", out.version}});
 }
 
+void gateway_task::execute(const admission_refused &out)
+{
+    logEvent(event_number::AdmissionRefused,
+             {{"request", callerRequestIdOf(out.request)},
+              {"model", out.model},
+              {"rank", out.rank},
+              {"account", out.account},
+              {"returning", out.isReturning ? 1 : 0},
+              {"share", std::to_string(out.share)},
+              {"capacity", std::to_string(out.capacity)},
+              {"demand", std::to_string(out.demand)},
+              {"slot", out.hasSlot ? 1 : 0}});
+    m_metrics.count(
+        "carawayloft_admission_refusals_total",
+        "model=\"" + out.model.value() + "\",rank=\"" + std::to_string(out.rank.value()) + "\",returning=\"" + (out.isReturning ? "yes" : "no") + "\"");
+}
+
 void gateway_task::execute(const call_repeated &out)
 {
     logEvent(event_number::CallRepeated,
--- a/tests/gateway/admission_control_test.cpp
+++ b/tests/gateway/admission_control_test.cpp
@@ -306,3 +306,16 @@
     EXPECT_DOUBLE_EQ(decision.demand, 400.0);
     EXPECT_GT(decision.retryAfter.count(), 0);
 }
+
+// Guards against a capacity that is kept while the traffic that it is derived from has changed, and against one that is summed up for each request.
+TEST(AdmissionControl, ACapacityIsUsedForAShortTimeAndNotAfterAGrant)
+{
+    admission_control admission(1);
+    EXPECT_FALSE(admission.knowsCapacity(largeModel, start));
+    admission.step(capacity_assessed{largeModel, 100.0}, start);
+    EXPECT_TRUE(admission.knowsCapacity(largeModel, start + duration(50)));
+    EXPECT_FALSE(admission.knowsCapacity(largeModel, start + duration(100)));
+    admission.step(capacity_assessed{largeModel, 100.0}, start + duration(100));
+    admission.step(demand_granted{{makeTraffic(400.0)}, {}, 1}, start + duration(110));
+    EXPECT_FALSE(admission.knowsCapacity(largeModel, start + duration(110)));
+}
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -963,3 +963,172 @@
     EXPECT_EQ(lastReport.modelTraffic.front().recentRequestsPerSecond, requests / 2.0); // Over two seconds.
     EXPECT_EQ(lastReport.modelTraffic.front().returningPerSecond, 0.0);
 }
+
+namespace {
+
+/** The route for drafts has the priorities 0 and 2, by account, and the demand is four times the capacity. */
+class GatewayContention : public GatewayPipe
+{
+protected:
+    GatewayContention()
+    {
+        configuration_fields fields = makeFields(2);
+        fields.routes.front().priority = 2;
+        fields.accounts.push_back({client_account_id("urgent"), {urgentKey}, 0});
+        configure(fields);
+    }
+
+    gateway_request makeUrgent(std::uint64_t id)
+    {
+        gateway_request request = makeRequest(id, "/draft/x");
+        request.key = urgentKey;
+        return request;
+    }
+
+    void grantDemand(double requestsPerSecond)
+    {
+        advance(duration(250));
+        tick();
+        gateway_grant out{lastReport.round, revision(), duration(3'000), 1, {}, {}, {}};
+        out.modelTraffic = {{largeModel, requestsPerSecond, 500.0, 100.0, engine_duration(300), requestsPerSecond, 0.0, 0.0}};
+        out.classDemand = {{largeModel, request_rank(0), client_account_id("urgent"), 0.1 * requestsPerSecond, 0},
+                           {largeModel, request_rank(2), client_account_id("firm"), 0.9 * requestsPerSecond, 0}};
+        receive(out);
+    }
+
+    const access_key urgentKey{"key-2"};
+};
+
+} // namespace
+
+// Guards against a rejection whose reason cannot be found in the log: rank, account, share, capacity and demand.
+TEST_F(GatewayContention, ARejectionStatesWhatItWasBasedOn)
+{
+    grantDemand(2'000.0);
+    std::vector<admission_refused> refused;
+    std::vector<reject_request> rejections;
+    for (std::uint64_t id = 1; id <= 20 && refused.empty(); ++id) {
+        step(makeRequest(id, "/draft/x"));
+        refused = outputsOf<admission_refused>();
+        rejections = outputsOf<reject_request>();
+    }
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused.front().rank, request_rank(2));
+    EXPECT_EQ(refused.front().account, client_account_id("firm"));
+    EXPECT_EQ(refused.front().model, largeModel);
+    EXPECT_GT(refused.front().share, 0.0);
+    EXPECT_LT(refused.front().share, 1.0);
+    EXPECT_GT(refused.front().capacity, 0.0);
+    EXPECT_NEAR(refused.front().demand, 2'000.0, 1e-6);
+    ASSERT_EQ(rejections.size(), 1U);
+    EXPECT_EQ(rejections.front().status, 503U);
+    EXPECT_EQ(rejections.front().outcome, run_outcome::DidNotRun);
+    EXPECT_GE(rejections.front().retryAfter, duration(300));
+    EXPECT_LE(rejections.front().retryAfter, duration(4'000 / 3));
+}
+
+// Guards against a rank that is rejected while a lower one is served.
+TEST_F(GatewayContention, TheHigherRankIsAdmittedBeforeTheLowerOne)
+{
+    grantDemand(100.0);
+    std::size_t refusedUrgent = 0;
+    std::size_t refusedOther = 0;
+    for (std::uint64_t id = 1; id <= 40; id += 2) {
+        step(makeUrgent(id));
+        refusedUrgent += outputsOf<admission_refused>().size();
+        step(makeRequest(id + 1, "/draft/x"));
+        refusedOther += outputsOf<admission_refused>().size();
+    }
+    EXPECT_EQ(refusedUrgent, 0U);
+    EXPECT_GT(refusedOther, 5U);
+}
+
+TEST_F(GatewayContention, ReportsItsFirstAttemptsByRankAndAccount)
+{
+    step(makeUrgent(1));
+    step(makeRequest(2, "/draft/x"));
+    gateway_request retry = makeRequest(3, "/draft/x");
+    retry.timeLimit = duration(2'000); // Of 5 s, so it has been rejected before.
+    step(retry);
+    advance(duration(250));
+    tick();
+    ASSERT_EQ(lastReport.classDemand.size(), 2U);
+    EXPECT_EQ(lastReport.classDemand[0].requestsPerSecond, lastReport.classDemand[1].requestsPerSecond);
+    EXPECT_NE(lastReport.classDemand[0].rank, lastReport.classDemand[1].rank);
+    EXPECT_NE(lastReport.classDemand[0].account, lastReport.classDemand[1].account);
+}
+
+// Guards against reports that grow with the model names that callers invent.
+TEST_F(GatewayContention, DoesNotReportDemandForModelsThatTheServiceDoesNotHave)
+{
+    gateway_request request = makeRequest(1, "/draft/x");
+    request.model = model_id("invented");
+    step(request);
+    advance(duration(250));
+    tick();
+    EXPECT_TRUE(lastReport.classDemand.empty());
+    EXPECT_TRUE(lastReport.modelTraffic.empty());
+}
+
+TEST_F(GatewayContention, WaitingRequestsAreSentByRankAndTheNewestFirst)
+{
+    publish_fleet change;
+    change.retiredGroups = {{group_epoch(1)}, {group_epoch(2)}};
+    receive(change);
+    step(makeUrgent(1));
+    step(makeRequest(2, "/draft/x"));
+    step(makeUrgent(3));
+    step(makeRequest(4, "/draft/x"));
+    publish_fleet repaired;
+    repaired.groups = {makeGroup(3, "h1", "m1")};
+    receive(repaired);
+    tick();
+    std::vector<request_id> order;
+    for (const call_backend &each : outputsOf<call_backend>()) {
+        order.push_back(each.request);
+    }
+    EXPECT_EQ(order, (std::vector{request_id(3), request_id(1), request_id(4), request_id(2)}));
+}
+
+// Guards against engines that cannot tell the ranks apart, and against an order that callers choose where there is one rank.
+TEST_F(GatewayContention, EnginesAreToldTheUrgencyOnlyWhereRanksDiffer)
+{
+    step(makeUrgent(1));
+    const auto urgent = outputsOf<call_backend>().front().urgency;
+    const call_backend other = startCall(2, "/draft/x");
+    ASSERT_TRUE(urgent && other.urgency);
+    EXPECT_LT(*urgent, *other.urgency);
+    EXPECT_EQ(startCall(3, "/records/x").urgency, std::nullopt);
+    answer(other, 200, true);
+    step(backend_bytes_received{other.call, event(1)});
+    step(backend_call_failed{other.call, false, "connection closed"});
+    ASSERT_EQ(outputsOf<call_backend>().size(), 1U);
+    EXPECT_EQ(outputsOf<call_backend>().front().urgency, 0U); // An interrupted stream.
+    configure(makeFields(3));
+    EXPECT_EQ(startCall(4, "/draft/x").urgency, std::nullopt);
+}
+
+// Guards against a limited head that counts as a whole group: half of the demand is admitted where the limits are half of it.
+TEST_F(GatewayPipe, ServersThatNameALimitCountForNoMoreThanIt)
+{
+    publish_fleet change;
+    for (const char *id : {"h1", "h2"}) {
+        change.backends.push_back(makeBackend(id, engineService));
+        change.backends.back().requestLimit = 1.0;
+    }
+    receive(change);
+    advance(duration(250));
+    tick();
+    gateway_grant out{lastReport.round, revision(), duration(3'000), 1, {}, {}, {}};
+    out.modelTraffic = {{largeModel, 4.0, 500.0, 100.0, engine_duration(300), 4.0, 0.0, 0.0}};
+    receive(out);
+    std::size_t refused = 0;
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        step(makeRequest(id, "/draft/x"));
+        for (const admission_refused &each : outputsOf<admission_refused>()) {
+            EXPECT_DOUBLE_EQ(each.capacity, 2.0);
+            ++refused;
+        }
+    }
+    EXPECT_NEAR(static_cast<double>(refused), 10.0, 1.0);
+}
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <carawayloft/fleet/class_demand_sum.h>
 #include <carawayloft/gateway/gateway_pipe.h>
 
 #include "support/service_builder.h"
@@ -232,6 +233,7 @@
         m_gateways[number].report = *report;
         gateway_grant grant{report->round, revision(), duration(3'000), static_cast<std::uint32_t>(m_gateways.size()), {}, {}, {}};
         fleet_traffic demand;
+        class_demand_sum classes;
         for (std::size_t i = 0; i < m_gateways.size(); ++i) {
             if (i != number) {
                 addLoads(m_gateways[i].report.loads, grant.others);
@@ -239,7 +241,11 @@
             for (const model_traffic &each : m_gateways[i].report.modelTraffic) {
                 addTraffic(demand, each);
             }
+            for (const class_demand &each : m_gateways[i].report.classDemand) {
+                classes.add(each);
+            }
         }
+        grant.classDemand = classes.entries();
         for (const auto &[model, each] : demand) {
             grant.modelTraffic.push_back(each);
         }
