--- a/tests/process/child.cpp
+++ b/tests/process/child.cpp
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <sstream>
 #include <sys/resource.h>
@@ -103,4 +105,16 @@
     return 0;
 }
 
+std::size_t child::openDescriptors() const
+{
+    const std::filesystem::directory_iterator all("/proc/" + std::to_string(m_pid) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
+bool child::isAlive() const
+{
+    siginfo_t info{};
+    return m_pid > 0 && waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == 0;
+}
+
 } // namespace carawayloft::test_support
--- a/tests/process/child.h
+++ b/tests/process/child.h
@@ -36,6 +36,12 @@
     /** The most memory that the process has held, in bytes. */
     std::size_t peakMemory() const;
 
+    /** Open file descriptors of the process. */
+    std::size_t openDescriptors() const;
+
+    /** Whether the process has neither ended nor crashed. */
+    bool isAlive() const;
+
     /** What the process has written so far. */
     std::string log() const;
 
--- a/tests/process/platform_processes.cpp
+++ b/tests/process/platform_processes.cpp
@@ -35,12 +35,12 @@
     return "zone=mid-a\ninternalPortRange=7340,7355\nseeds=" + list + "\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=100\n";
 }
 
-void platform_processes::writeCore(const std::string &name, int host, int seeds) const
+void platform_processes::writeCore(const std::string &name, int host, int seeds, const std::string &more) const
 {
     const std::filesystem::path data = dataFolder(name);
     std::filesystem::create_directories(data);
     write(name,
-          common(seeds) + "nodeName=" + name + "\nserves=control\nip=" + m_net + std::to_string(host) + "\nlisten.control=" + coreAddress(host)
+          common(seeds) + more + "nodeName=" + name + "\nserves=control\nip=" + m_net + std::to_string(host) + "\nlisten.control=" + coreAddress(host)
               + "\ndataDir=" + data.string() + "\n");
 }
 
--- a/tests/process/platform_processes.h
+++ b/tests/process/platform_processes.h
@@ -28,8 +28,8 @@
     /** Settings that all processes share; the first @p seeds control replicas are the seeds. */
     std::string common(int seeds = 1) const;
 
-    /** Writes the settings of a control replica at the address that ends with @p host. */
-    void writeCore(const std::string &name, int host, int seeds = 1) const;
+    /** Writes the settings of a control replica at the address that ends with @p host; @p more are further lines. */
+    void writeCore(const std::string &name, int host, int seeds = 1, const std::string &more = {}) const;
 
     /** Empties the disk of a control replica that does not run. */
     void wipeDisk(const std::string &name) const;
