HTTP server: bodies are charged as they arrive, and rejected when they fill a process

Callers saw a gateway or control replica disappear or slow down before clients whose bodies did not end; a body over the limit closed the connection with no answer, and a stalled one stayed for as long as its client liked.

RESTinio kept every body before anyone was asked, with a record for each chunk, and bounded no sum. Requests are now read by request_reader on http_parser, on which RESTinio is built too: a value without a socket that keeps bodies in blocks, so that a chunk of one byte takes one byte. http_connection serves one request at a time and reads at most 16 KiB behind it; http_port owns the byte budget and carries out its answers. Rejected: 503 with Retry-After for the largest and oldest unfinished request when the budget is spent, 413 over the limit, 408 for headers that do not end in 5 s or a body that pauses for 16 s, 400 for a length beside chunks, 431 and 414 for headers; then the connection closes. Answers that are not taken are charged as well and cut when nothing else is left. limits.memoryMb and limits.bodyPauseS set the limits; answers kept whole get a fifth of the memory (32 MiB of 160, as before).

--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carawayloft/control/published_fleet.h>
+#include <carawayloft/core/answer_limits.h>
 #include <carawayloft/fleet/backend_view.h>
 #include <carawayloft/gateway/backend_notices.h>
 #include <carawayloft/gateway/crash_witness.h>
@@ -22,6 +23,7 @@
     availability_zone_id zone;
     fleet_limits limits;
     std::uint64_t seed = 1;
+    std::size_t maxKeptAnswers = maxKeptAnswerBytes; /**< Bytes of all answers that are kept until they are whole. */
 };
 
 /**
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -23,6 +23,14 @@
         return {"frame_rejected", severity::Warning};
     case event_number::HttpConnectionRejected:
         return {"http_connection_rejected", severity::Info};
+    case event_number::HttpBodyTooLarge:
+        return {"http_body_too_large", severity::Info};
+    case event_number::HttpRequestTooSlow:
+        return {"http_request_too_slow", severity::Info};
+    case event_number::ByteBudgetExhausted:
+        return {"byte_budget_exhausted", severity::Warning};
+    case event_number::UntakenAnswerCut:
+        return {"untaken_answer_cut", severity::Warning};
     case event_number::RequestRejected:
         return {"request_rejected", severity::Info};
     case event_number::RouteChosen:
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -74,6 +74,12 @@
     duration stopTimeout{0}; /**< Requests still in flight at its end are aborted. */
 };
 
+/** What bounds the memory that callers can take. */
+struct http_settings {
+    std::size_t memoryBytes = std::size_t{160} << 20U; /**< Of the machine; the default is the smallest that gateways run on. */
+    duration maxBodyPause{16'000}; /**< Longest pause in a request's body: the 15 s that callers may be idle, and a margin. */
+};
+
 /** The settings of one process; immutable after loading. */
 struct settings {
     std::string process;
@@ -85,6 +91,7 @@
     std::optional<agent_settings> agent;
     std::optional<replica_settings> replica;
     std::optional<gateway_settings> gateway;
+    http_settings http;
 };
 
 /** Reads and validates a settings file. An error names the file, line, key and remedy. */
--- a/src/ends/http_exchange.h
+++ b/src/ends/http_exchange.h
@@ -23,7 +23,7 @@
     void setClosing(bool closing);
 
     /** Sends @p bytes now; @p sent is called when the caller's side has taken them. */
-    void write(std::string bytes, std::function<void()> sent);
+    void write(const std::string &bytes, std::function<void()> sent);
 
     /** Ends a stream. */
     void finish();
--- /dev/null
+++ b/src/ends/http_port.cpp
@@ -0,0 +1,252 @@
+#include "ends/http_port.h"
+
+#include "ends/clock.h"
+#include "ends/event_log.h"
+
+#include <carawayloft/core/overloaded.h>
+
+#include <linux/filter.h>
+#include <netinet/tcp.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <vector>
+
+namespace carawayloft {
+
+/** Interval at which a server that stops listening looks whether connections wait, and for how long it does. */
+static constexpr std::chrono::milliseconds closeRetryPeriod{5};
+static constexpr std::chrono::milliseconds maxCloseTime{50};
+
+/** Interval at which the time limits of connections are checked. */
+static constexpr std::chrono::milliseconds checkPeriod{250};
+
+/** Time until the next attempt to accept where the process has no descriptor left. */
+static constexpr std::chrono::milliseconds acceptRetryDelay{20};
+
+/** Part of the process's descriptors that one port may take; the rest is for servers, other ports and files. */
+static constexpr std::size_t descriptorShareNumerator = 3;
+static constexpr std::size_t descriptorShareDenominator = 4;
+
+static std::size_t maxConnectionsOfAPort()
+{
+    rlimit descriptors{};
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    return descriptors.rlim_cur / descriptorShareDenominator * descriptorShareNumerator;
+}
+
+static event_number eventOf(http_rejection why)
+{
+    switch (why) {
+    case http_rejection::BodyTooLarge:
+        return event_number::HttpBodyTooLarge;
+    case http_rejection::TooSlow:
+        return event_number::HttpRequestTooSlow;
+    case http_rejection::BudgetExhausted:
+        return event_number::ByteBudgetExhausted;
+    case http_rejection::AnswerUntaken:
+        return event_number::UntakenAnswerCut;
+    case http_rejection::Malformed:
+    case http_rejection::Incomplete:
+        break;
+    }
+    return event_number::HttpConnectionRejected;
+}
+
+http_port::http_port(asio::io_context &context, const http_limits &limits, request_handler handle, rejection_handler onRejected)
+    : m_context(context)
+    , m_limits(limits)
+    , m_maxConnections(maxConnectionsOfAPort())
+    , m_handle(std::move(handle))
+    , m_onRejected(std::move(onRejected))
+    , m_acceptor(context)
+    , m_acceptTimer(context)
+    , m_checkTimer(context)
+    , m_closeTimer(context)
+    , m_budget(limits.maxHeldBytes)
+{
+}
+
+void http_port::open(const asio::ip::tcp::endpoint &at)
+{
+    m_acceptor.open(at.protocol());
+    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(at);
+    m_acceptor.listen();
+    accept();
+}
+
+void http_port::accept()
+{
+    m_acceptor.async_accept(m_context, [self = shared_from_this()](const std::error_code &failure, asio::ip::tcp::socket socket) {
+        if (!self->m_acceptor.is_open()) {
+            return;
+        }
+        if (!failure) {
+            self->add(std::move(socket));
+            self->accept();
+            return;
+        }
+        self->closeIdleConnection();
+        self->m_acceptTimer.expires_after(acceptRetryDelay);
+        self->m_acceptTimer.async_wait([self](const std::error_code &cancelled) {
+            if (!cancelled && self->m_acceptor.is_open()) {
+                self->accept();
+            }
+        });
+    });
+}
+
+void http_port::add(asio::ip::tcp::socket socket)
+{
+    if (m_connections.size() >= m_maxConnections && !closeIdleConnection()) {
+        return; // Closes the new one: every other is in the middle of a request.
+    }
+    m_lastHolder = next(m_lastHolder);
+    const auto connection = std::make_shared<http_connection>(shared_from_this(), m_lastHolder, std::move(socket));
+    m_connections.emplace(m_lastHolder, connection);
+    connection->start();
+    awaitTimeCheck();
+}
+
+bool http_port::closeIdleConnection()
+{
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->isIdle()) {
+            const std::shared_ptr<http_connection> oldest = connection;
+            oldest->close();
+            return true;
+        }
+    }
+    return false;
+}
+
+void http_port::awaitTimeCheck()
+{
+    if (m_checking || m_connections.empty()) {
+        return;
+    }
+    m_checking = true;
+    m_checkTimer.expires_after(checkPeriod);
+    m_checkTimer.async_wait([self = shared_from_this()](const std::error_code &cancelled) {
+        self->m_checking = false;
+        if (cancelled) {
+            return;
+        }
+        const time_point now = monotonicNow();
+        const auto connections = self->m_connections; // A connection that ends leaves the map.
+        for (const auto &[id, connection] : connections) {
+            connection->checkTime(now);
+        }
+        self->awaitTimeCheck();
+    });
+}
+
+void http_port::handle(http_request request, std::shared_ptr<http_connection> connection, request_number number)
+{
+    if (m_handle) {
+        m_handle(std::move(request), std::move(connection), number);
+    }
+}
+
+void http_port::report(byte_holder_id holder, const held_bytes &now)
+{
+    for (const byte_budget_output &each : m_budget.update(holder, now)) {
+        std::visit(overloaded{
+                       [this](const reject_unfinished_body &out) {
+                           if (const auto found = m_connections.find(out.holder); found != m_connections.end()) {
+                               found->second->rejectUnfinishedBody();
+                           }
+                       },
+                       [this](const cut_untaken_answer &out) {
+                           if (const auto found = m_connections.find(out.holder); found != m_connections.end()) {
+                               found->second->cutUntakenAnswer();
+                           }
+                       },
+                   },
+                   each);
+    }
+}
+
+void http_port::remove(byte_holder_id holder)
+{
+    m_budget.update(holder, {});
+    m_connections.erase(holder);
+}
+
+void http_port::noteRejection(http_rejection why, const asio::ip::tcp::endpoint &peer, const std::string &reason, std::size_t bodyBytes)
+{
+    if (m_onRejected) {
+        m_onRejected(why);
+    }
+    if (const auto omitted = m_quotas[why].admit(monotonicNow())) {
+        logEvent(eventOf(why),
+                 {{"peer", peer.address().to_string() + ":" + std::to_string(peer.port())},
+                  {"reason", reason},
+                  {"body_bytes", bodyBytes},
+                  {"held_bytes", m_budget.used()},
+                  {"connections", m_connections.size()},
+                  {"omitted", *omitted}});
+    }
+}
+
+void http_port::stopListening()
+{
+    m_closeBy = std::chrono::steady_clock::now() + maxCloseTime;
+    ignoreNewConnections();
+    awaitClose();
+}
+
+/** Makes the system drop segments that open a connection, so that none is accepted while the port closes. */
+void http_port::ignoreNewConnections()
+{
+    static constexpr std::uint32_t flagsOffset = 13; // In the TCP header.
+    static constexpr std::uint32_t synFlag = 0x02;
+    static constexpr std::uint32_t wholeSegment = 0xffffffff;
+    std::array<sock_filter, 4> program{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+                                        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
+                                        BPF_STMT(BPF_RET | BPF_K, 0),
+                                        BPF_STMT(BPF_RET | BPF_K, wholeSegment)}};
+    const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
+    setsockopt(m_acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+}
+
+void http_port::awaitClose()
+{
+    m_closeTimer.expires_after(closeRetryPeriod);
+    m_closeTimer.async_wait([self = shared_from_this()](const std::error_code &cancelled) {
+        if (cancelled || !self->m_acceptor.is_open()) {
+            return;
+        }
+        if (self->waitingConnections() == 0 || std::chrono::steady_clock::now() >= self->m_closeBy) {
+            self->m_acceptor.close();
+        } else {
+            self->awaitClose();
+        }
+    });
+}
+
+/** Connections in the accept queue; zero where the system does not tell. */
+std::size_t http_port::waitingConnections()
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return getsockopt(m_acceptor.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_unacked : 0;
+}
+
+void http_port::shutDown()
+{
+    m_handle = nullptr;
+    m_onRejected = nullptr;
+    std::error_code ignored;
+    m_acceptor.close(ignored);
+    m_acceptTimer.cancel();
+    m_checkTimer.cancel();
+    m_closeTimer.cancel();
+    const auto connections = std::exchange(m_connections, {});
+    for (const auto &[id, connection] : connections) {
+        connection->close();
+    }
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/http_port.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "ends/event_quota.h"
+#include "ends/http_connection.h"
+#include "ends/http_limits.h"
+#include "ends/http_rejection.h"
+
+#include <carawayloft/core/byte_budget.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace carawayloft {
+
+/** A listening port with its connections and their byte budget. It asks the budget and carries out its answers. */
+class http_port : public std::enable_shared_from_this<http_port>
+{
+public:
+    using request_handler = std::function<void(http_request, std::shared_ptr<http_connection>, request_number)>;
+    using rejection_handler = std::function<void(http_rejection)>;
+
+    http_port(asio::io_context &context, const http_limits &limits, request_handler handle, rejection_handler onRejected);
+
+    /** Throws std::system_error if @p at cannot be listened on. */
+    void open(const asio::ip::tcp::endpoint &at);
+
+    /** Connections that the system has accepted and that are not served yet would be reset, so they are taken first. */
+    void stopListening();
+
+    /** Closes everything and calls no handler from now on. */
+    void shutDown();
+
+    const http_limits &limits() const
+    {
+        return m_limits;
+    }
+
+    std::size_t connections() const
+    {
+        return m_connections.size();
+    }
+
+    std::size_t heldBytes() const
+    {
+        return m_budget.used();
+    }
+
+    // Called by connections.
+
+    /** For reading into; what is there is used up before the next wait. */
+    std::span<char> readBuffer()
+    {
+        return m_readBuffer;
+    }
+
+    void handle(http_request request, std::shared_ptr<http_connection> connection, request_number number);
+    void report(byte_holder_id holder, const held_bytes &now);
+    void remove(byte_holder_id holder);
+    void noteRejection(http_rejection why, const asio::ip::tcp::endpoint &peer, const std::string &reason, std::size_t bodyBytes);
+
+private:
+    void accept();
+    void add(asio::ip::tcp::socket socket);
+
+    /** Closes the oldest idle connection; false if there is none. */
+    bool closeIdleConnection();
+
+    void awaitTimeCheck();
+    void ignoreNewConnections();
+    void awaitClose();
+    std::size_t waitingConnections();
+
+    asio::io_context &m_context;
+    http_limits m_limits;
+    std::size_t m_maxConnections;
+    request_handler m_handle;
+    rejection_handler m_onRejected;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer;
+    asio::steady_timer m_checkTimer;
+    asio::steady_timer m_closeTimer;
+    std::chrono::steady_clock::time_point m_closeBy;
+    byte_holder_id m_lastHolder;
+    byte_budget m_budget;
+    std::map<byte_holder_id, std::shared_ptr<http_connection>> m_connections;
+    std::map<http_rejection, event_quota> m_quotas;
+    std::array<char, std::size_t{64} << 10U> m_readBuffer{};
+    bool m_checking = false;
+};
+
+} // namespace carawayloft
--- a/src/gateway_pipe/gateway_pipe_answers.cpp
+++ b/src/gateway_pipe/gateway_pipe_answers.cpp
@@ -116,7 +116,7 @@
         recordAnswerProgress(*context, false);
         context->body += in.bytes;
         const bool isLarge = context->body.size() > largeAnswerBytes;
-        if (context->body.size() > maxWholeAnswerBytes || (isLarge && keptAnswerBytes() > maxKeptAnswerBytes)) {
+        if (context->body.size() > maxWholeAnswerBytes || (isLarge && keptAnswerBytes() > m_options.maxKeptAnswers)) {
             emit(cancel_call{in.call});
             handleCallFailure(*context, true, "the answer is too long");
         }
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -168,6 +168,8 @@
 
 std::string control_task::renderMetrics()
 {
+    m_metrics.setGauge("carawayloft_http_connections", {}, static_cast<double>(m_http->connections()));
+    m_metrics.setGauge("carawayloft_http_held_bytes", {}, static_cast<double>(m_http->heldBytes()));
     if (m_pipe) {
         m_metrics.setGauge("carawayloft_leads", {}, m_pipe->log().role() == log_role::Leader ? 1 : 0);
         m_metrics.setGauge("carawayloft_revision", {}, static_cast<double>(m_pipe->fleet().at().value()));
--- a/src/tasks/control_task_start.cpp
+++ b/src/tasks/control_task_start.cpp
@@ -13,6 +13,8 @@
 static constexpr duration tickPeriod{20};
 static constexpr duration formationPeriod{100};
 static constexpr duration joinPeriod{300};
+/** Part of the machine's memory for what callers make a control replica hold; its log and state take more than that. */
+static constexpr std::size_t callerMemoryDivisor = 4;
 static constexpr const char *identityFile = "identity";
 
 /** Term of the initial membership entry; every election has a higher term. */
@@ -109,16 +111,24 @@
         return errorOf(listener);
     }
     m_listener = std::move(valueOf(listener));
+    http_limits limits;
+    limits.maxHeldBytes = m_settings.http.memoryBytes / callerMemoryDivisor;
+    limits.maxBodyPause = m_settings.http.maxBodyPause;
     auto http = http_server::create(
-        m_context, own.http, {}, [this](const http_request &request, const std::shared_ptr<http_exchange> &exchange) { serve(request, exchange); });
+        m_context,
+        own.http,
+        limits,
+        [this](const http_request &request, const std::shared_ptr<http_exchange> &exchange) { serve(request, exchange); },
+        [this](http_rejection why) { m_metrics.count("carawayloft_http_rejections_total", std::string("reason=\"") + name(why) + "\""); });
     if (failed(http)) {
         return errorOf(http);
     }
     m_http = std::move(valueOf(http));
     if (!own.metrics.value().empty()) {
-        auto metricsHttp = http_server::create(m_context, own.metrics, {}, [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
-            exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
-        });
+        auto metricsHttp
+            = http_server::create(m_context, own.metrics, statusPortLimits(), [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+                  exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
+              });
         if (failed(metricsHttp)) {
             return errorOf(metricsHttp);
         }
--- a/src/tasks/entry_task.cpp
+++ b/src/tasks/entry_task.cpp
@@ -8,6 +8,7 @@
 
 #include <carawayloft/core/overloaded.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace carawayloft {
@@ -22,11 +23,15 @@
 static constexpr std::size_t maxIdempotencyKeyBytes = 255;
 static constexpr std::int64_t maxTimeoutMs = 86'400'000;
 
+/** Bodies of the largest size that an entry can hold at least, where the settings allow larger ones than the default. */
+static constexpr std::size_t heldBodies = 4;
+
 result<std::unique_ptr<entry_task>> entry_task::create(asio::io_context &context, const settings &loaded, std::function<void()> onStopped)
 {
     auto task = std::unique_ptr<entry_task>(new entry_task(context, loaded, std::move(onStopped)));
     http_limits limits;
     limits.maxBodyBytes = loaded.entry->maxBodyBytes;
+    limits.maxHeldBytes = std::max(limits.maxHeldBytes, heldBodies * limits.maxBodyBytes);
     entry_task *self = task.get();
     auto http = http_server::create(context, loaded.entry->http, limits, [self](http_request request, std::shared_ptr<http_exchange> exchange) {
         self->serve(std::move(request), std::move(exchange));
@@ -284,14 +289,14 @@
     }
 }
 
-void entry_task::writeChunk(pending_answer &answer, request_id request, std::string bytes)
+void entry_task::writeChunk(pending_answer &answer, request_id request, const std::string &bytes)
 {
     if (!answer.streaming) {
         answer.streaming = true;
         answer.exchange->startStream({answer.status, {{"Content-Type", answer.contentType}, {"Cache-Control", "no-cache"}}, {}});
     }
     if (!bytes.empty()) {
-        answer.exchange->write(std::move(bytes), [this, request] { run(caller_consumed_chunk{request}); });
+        answer.exchange->write(bytes, [this, request] { run(caller_consumed_chunk{request}); });
     }
 }
 
--- a/src/tasks/entry_task.h
+++ b/src/tasks/entry_task.h
@@ -70,7 +70,7 @@
     void execute(const requests_drained &out);
     void execute(const request_latency_measured &out);
 
-    void writeChunk(pending_answer &answer, request_id request, std::string bytes);
+    void writeChunk(pending_answer &answer, request_id request, const std::string &bytes);
     void handleAgentEvent(const endpoint &agent, link_event event);
 
     asio::io_context &m_context;
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -26,6 +26,13 @@
 /** Time for the last bytes to be sent before the task reports that it has stopped. */
 static constexpr duration flushDelay{150};
 
+/**
+ * Parts of the machine's memory for what callers make a gateway hold, and for answers that it keeps until they are
+ * whole. The rest, 48 MB of 160, is for the process itself, which takes 11 to 18 MB, and for the system.
+ */
+static constexpr std::size_t callerMemoryDivisor = 2;
+static constexpr std::size_t keptAnswersDivisor = 5;
+
 /** Retry-After of requests that are rejected while the process drains. */
 static constexpr duration stopRetryAfter{100};
 
@@ -45,7 +52,7 @@
     , m_frontEnd(frontEnd)
     , m_onStopped(std::move(onStopped))
     , m_timers(context)
-    , m_pipe({loaded.zone, loaded.gateway->limits, std::random_device()()})
+    , m_pipe({loaded.zone, loaded.gateway->limits, std::random_device()(), loaded.http.memoryBytes / keptAnswersDivisor})
     , m_client(http_client::create(context))
     , m_control(
           context,
@@ -64,23 +71,32 @@
 status gateway_task::listen()
 {
     const gateway_settings &own = *m_settings.gateway;
+    http_limits limits;
+    limits.maxHeldBytes = m_settings.http.memoryBytes / callerMemoryDivisor;
+    limits.maxBodyPause = m_settings.http.maxBodyPause;
     auto callers = http_server::create(
-        m_context, own.callers, {}, [this](http_request request, std::shared_ptr<http_exchange> exchange) { serve(std::move(request), std::move(exchange)); });
+        m_context,
+        own.callers,
+        limits,
+        [this](http_request request, std::shared_ptr<http_exchange> exchange) { serve(std::move(request), std::move(exchange)); },
+        [this](http_rejection why) { m_metrics.count("carawayloft_http_rejections_total", std::string("reason=\"") + name(why) + "\""); });
     if (failed(callers)) {
         return errorOf(callers);
     }
     m_callerServer = std::move(valueOf(callers));
-    auto readiness = http_server::create(m_context, own.readiness, {}, [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
-        const bool ready = !m_stopping && m_pipe.isReady(monotonicNow());
-        exchange->respond({ready ? 200U : 503U, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"});
-    });
+    auto readiness
+        = http_server::create(m_context, own.readiness, statusPortLimits(), [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+              const bool ready = !m_stopping && m_pipe.isReady(monotonicNow());
+              exchange->respond({ready ? 200U : 503U, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"});
+          });
     if (failed(readiness)) {
         return errorOf(readiness);
     }
     m_readinessServer = std::move(valueOf(readiness));
-    auto metricsHttp = http_server::create(m_context, own.metrics, {}, [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
-        exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
-    });
+    auto metricsHttp
+        = http_server::create(m_context, own.metrics, statusPortLimits(), [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+              exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics()});
+          });
     if (failed(metricsHttp)) {
         return errorOf(metricsHttp);
     }
@@ -349,6 +365,8 @@
 
 std::string gateway_task::renderMetrics()
 {
+    m_metrics.setGauge("carawayloft_http_connections", {}, static_cast<double>(m_callerServer->connections()));
+    m_metrics.setGauge("carawayloft_http_held_bytes", {}, static_cast<double>(m_callerServer->heldBytes()));
     m_metrics.setGauge("carawayloft_requests_in_flight", {}, static_cast<double>(m_pipe.inFlight()));
     m_metrics.setGauge("carawayloft_revision", {}, static_cast<double>(m_pipe.fleet().at().value()));
     m_metrics.setGauge("carawayloft_groups_known", {}, static_cast<double>(m_pipe.view().groups().size()));
