--- a/src/ends/http_connection.cpp
+++ b/src/ends/http_connection.cpp
@@ -184,7 +184,10 @@
                            deliver(std::move(each.request));
                        },
                        [this](const request_unreadable &each) {
-                           reject(each.status == 413 ? http_rejection::BodyTooLarge : http_rejection::Malformed, each.status, each.reason);
+                           const bool isTooLarge = each.status == 413;
+                           reject(isTooLarge ? http_rejection::BodyTooLarge : http_rejection::Malformed,
+                                  each.status,
+                                  (isTooLarge ? "" : "parser error: ") + each.reason);
                        },
                    },
                    reading);
--- a/src/ends/http_port.cpp
+++ b/src/ends/http_port.cpp
@@ -181,8 +181,8 @@
     }
     if (const auto omitted = m_quotas[why].admit(monotonicNow())) {
         logEvent(eventOf(why),
-                 {{"peer", peer.address().to_string() + ":" + std::to_string(peer.port())},
-                  {"reason", reason},
+                 {{"reason", reason},
+                  {"peer", peer.address().to_string() + ":" + std::to_string(peer.port())},
                   {"body_bytes", bodyBytes},
                   {"held_bytes", m_budget.used()},
                   {"connections", m_connections.size()},
--- a/src/ends/request_reader.cpp
+++ b/src/ends/request_reader.cpp
@@ -80,7 +80,7 @@
         bytes = {};
         return request_incomplete{};
     }
-    if (*m_refusal.reason == '\0') {
+    if (m_refusal.reason.empty()) {
         const http_errno failure = HTTP_PARSER_ERRNO(&m_parser);
         const bool isTooLong = failure == HPE_HEADER_OVERFLOW;
         m_refusal = {isTooLong ? 431U : 400U, http_errno_description(failure)};
--- a/src/ends/request_reader.h
+++ b/src/ends/request_reader.h
@@ -6,6 +6,7 @@
 
 #include <http_parser.h>
 
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -24,7 +25,7 @@
 /** No request can be read here any more; the status says why. */
 struct request_unreadable {
     std::uint32_t status = 400;
-    const char *reason = "";
+    std::string reason;
 };
 
 using request_reading = std::variant<request_incomplete, request_read, request_unreadable>;
