simulated_group: cancelled requests, restarts and a factor on the time

The tests of the whole under load need groups that slow down, end and drop requests whose connection was closed. An iteration of a busy group begins when the one before ends, not at the caller's next time step, which had slowed the group by half a step per iteration.

--- a/tests/support/simulated_group.h
+++ b/tests/support/simulated_group.h
@@ -42,6 +42,26 @@
         m_waiting.push_back(request);
     }
 
+    /** Drops a request whose connection was closed. */
+    void cancel(std::uint64_t id)
+    {
+        std::erase_if(m_waiting, [id](const simulated_request &each) { return each.id == id; });
+        std::erase_if(m_running, [id](const running_request &each) { return each.id == id; });
+    }
+
+    /** Drops all requests, as a restart does. */
+    void clear()
+    {
+        m_waiting.clear();
+        m_running.clear();
+    }
+
+    /** Multiplies the length of iterations that begin from now on, relative to the engine's figures. */
+    void setSlowdown(double factor)
+    {
+        m_slowdown = factor;
+    }
+
     /** Finishes the iteration that ends by @p now, if one does, and begins the next; returns what it wrote. */
     std::vector<simulated_event> advance(time_point now)
     {
@@ -52,7 +72,8 @@
         if (m_busy) {
             events = writeEvents();
         }
-        beginIteration(now);
+        // A busy group does not wait for the caller of this function, who may come late by a time step.
+        beginIteration(m_busy ? m_iterationEndsAt : now);
         return events;
     }
 
@@ -90,12 +111,13 @@
 
     engine_duration prefill(double tokens) const
     {
-        return m_model.pace * engine_duration(std::chrono::duration<double>(tokens / m_engine.prefillTokensPerSecond));
+        return m_slowdown * m_model.pace * engine_duration(std::chrono::duration<double>(tokens / m_engine.prefillTokensPerSecond));
     }
 
     engine_duration stepsTime(double running) const
     {
-        return m_model.pace * m_engine.stepsPerIteration * (m_engine.step + m_engine.stepPerRequest * running + m_engine.stepPerThousandTokens * running);
+        return m_slowdown * m_model.pace * m_engine.stepsPerIteration
+               * (m_engine.step + m_engine.stepPerRequest * running + m_engine.stepPerThousandTokens * running);
     }
 
     std::vector<simulated_event> writeEvents()
@@ -134,6 +156,7 @@
     std::deque<simulated_request> m_waiting;
     std::vector<running_request> m_running;
     time_point m_iterationEndsAt;
+    double m_slowdown = 1.0;
     bool m_busy = false;
 };
 
