--- a/tests/gateway/fleet_load_test.cpp
+++ b/tests/gateway/fleet_load_test.cpp
@@ -9,25 +9,17 @@
 
 namespace {
 
-/** Part of the best on-time rate that overload must not cost. */
-constexpr double keptRate = 0.95;
-
 constexpr double normalLoad = 0.7;
 
-/** The highest on-time rate at any constant load. */
-double bestOnTimeRate(std::size_t gateways, std::size_t groups = 8)
+/** Average of the rate over the span, where it counts for at most @p limit. */
+double attainableRate(const request_rate &rate, const request_span &span, double limit)
 {
-    double best = 0.0;
-    for (const double load : {normalLoad, 0.85, 1.0}) {
-        best = std::max(best, steadyOnTimeRate(makeOverload(gateways, load, groups)));
+    const duration step(10);
+    double sum = 0.0;
+    for (duration at = span.from; at < span.until; at += step) {
+        sum += std::min(limit, rateAt(rate, at));
     }
-    return best;
-}
-
-std::string describe(const caller_outcomes &of)
-{
-    return std::to_string(of.asked) + " asked, " + std::to_string(of.onTime) + " on time, " + std::to_string(of.late) + " late, " + std::to_string(of.rejected)
-           + " rejected, " + std::to_string(of.failed) + " failed, " + std::to_string(of.rejectedFirst) + " rejected at first";
+    return sum / static_cast<double>((span.until - span.from) / step);
 }
 
 } // namespace
@@ -61,3 +53,53 @@
     fleet.run(burst.until + duration(2'000));
     EXPECT_GE(fleet.log().onTimeRate(burst), keptRate * bestOnTimeRate(6)) << describe(fleet.log().outcomes(burst));
 }
+
+TEST(FleetLoad, AWaveKeepsTheBestOnTimeRate)
+{
+    const request_span span{duration(8'000), duration(32'000)};
+    gateway_fleet_options options = makeOverload(6, 1.0);
+    const double capacity = highestRate(options.load.rate);
+    options.load.rate = wave_rate{capacity, 0.6 * capacity, duration(8'000)};
+    gateway_fleet fleet(options);
+    fleet.run(span.until);
+    EXPECT_GE(fleet.log().onTimeRate(span), keptRate * attainableRate(options.load.rate, span, bestOnTimeRate(6))) << describe(fleet.log().outcomes(span));
+}
+
+TEST(FleetLoad, UnevenSharesOfTheGatewaysKeepTheBestOnTimeRate)
+{
+    gateway_fleet_options options = makeOverload(6, 1.5);
+    options.load.gatewayShares = {10.0, 3.0, 2.0, 1.0, 1.0, 1.0};
+    EXPECT_GE(steadyOnTimeRate(options), keptRate * bestOnTimeRate(6));
+}
+
+TEST(FleetLoad, CallersThatIgnoreRetryAfterDoNotCauseACollapse)
+{
+    const double best = bestOnTimeRate(6);
+    for (const double ignoring : {0.3, 1.0}) {
+        gateway_fleet_options options = makeOverload(6, 1.5);
+        options.load.ignoringRetryAfter = ignoring;
+        EXPECT_GE(steadyOnTimeRate(options), keptRate * best) << "share that ignores it: " << ignoring;
+    }
+}
+
+/** Guards against names of times at which the gateways have to reject the caller again. */
+TEST(FleetLoad, CallersThatReturnAtTheNamedTimeAreAdmitted)
+{
+    gateway_fleet_options options = makeOverload(6, normalLoad);
+    const double normal = highestRate(options.load.rate);
+    options.load.rate = burst_rate{normal, 2.0 / normalLoad * normal, duration(6'000), duration(4'000)};
+    gateway_fleet fleet(options);
+    const caller_outcomes outcomes = fleet.run(duration(16'000));
+    ASSERT_GT(outcomes.returned, 0U);
+    // A longer time than a third of what the caller has left is a time at which it does not return.
+    EXPECT_GE(static_cast<double>(outcomes.returnedAsNamed), 0.95 * static_cast<double>(outcomes.returned));
+    EXPECT_GE(static_cast<double>(outcomes.admittedAsNamed), 0.8 * static_cast<double>(outcomes.returnedAsNamed));
+}
+
+TEST(FleetLoad, CallersThatReturnAtTheNamedTimeInLastingOverloadAreAdmitted)
+{
+    gateway_fleet fleet(makeOverload(6, 1.3));
+    fleet.run(measuredSpan.until);
+    const caller_outcomes outcomes = fleet.log().outcomes(measuredSpan);
+    EXPECT_GE(static_cast<double>(outcomes.admittedAsNamed), 0.8 * static_cast<double>(outcomes.returnedAsNamed)) << describe(outcomes);
+}
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -230,7 +230,9 @@
             open_request request{m_callers.take()};
             request.gateway = request.call.gateway;
             request.lastEventAt = request.call.at;
-            request.number = m_log.add({elapsedAt(request.call.at), request.call.route, request.call.account, request.call.gateway});
+            request_record record{elapsedAt(request.call.at), request.call.route, request.call.account, request.call.gateway};
+            record.promptTokens = request.call.work.promptTokens;
+            request.number = m_log.add(record);
             send(request);
         }
     }
--- a/tests/support/overload_scenario.h
+++ b/tests/support/overload_scenario.h
@@ -56,4 +56,23 @@
     return fleet.log().onTimeRate(measuredSpan);
 }
 
+/** The highest on-time rate at any constant load; overload is compared with it. */
+inline double bestOnTimeRate(std::size_t gateways, std::size_t groups = 8)
+{
+    double best = 0.0;
+    for (const double load : {0.7, 0.85, 1.0}) {
+        best = std::max(best, steadyOnTimeRate(makeOverload(gateways, load, groups)));
+    }
+    return best;
+}
+
+/** Part of the best on-time rate that has to be kept under any load. */
+inline constexpr double keptRate = 0.95;
+
+inline std::string describe(const caller_outcomes &of)
+{
+    return std::to_string(of.asked) + " asked, " + std::to_string(of.onTime) + " on time, " + std::to_string(of.late) + " late, " + std::to_string(of.rejected)
+           + " rejected, " + std::to_string(of.failed) + " failed, " + std::to_string(of.rejectedFirst) + " rejected at first";
+}
+
 } // namespace carawayloft::test_support
--- a/tests/support/request_log.h
+++ b/tests/support/request_log.h
@@ -23,6 +23,7 @@
     std::size_t account = 0;
     std::size_t gateway = 0; /**< Of the first attempt. */
     request_outcome outcome = request_outcome::Open;
+    double promptTokens = 0.0;
     bool rejectedFirst = false; /**< The first attempt was rejected. */
     bool returned = false;
     bool returnedAsNamed = false; /**< It returned after the whole of the named Retry-After. */
@@ -38,10 +39,28 @@
     std::size_t rejected = 0;
     std::size_t failed = 0;
     std::size_t rejectedFirst = 0;
+    std::size_t servedAtOnce = 0; /**< Answered completely without a rejection. */
+    std::size_t returned = 0;
+    std::size_t returnedAsNamed = 0;
+    std::size_t admittedAsNamed = 0; /**< Of those that returned as named. */
 
     double onTimeShare() const
     {
-        return asked == 0 ? 1.0 : static_cast<double>(onTime) / static_cast<double>(asked);
+        return shareOf(onTime);
+    }
+    double servedAtOnceShare() const
+    {
+        return shareOf(servedAtOnce);
+    }
+    double answeredShare() const
+    {
+        return shareOf(onTime + late);
+    }
+
+private:
+    double shareOf(std::size_t count) const
+    {
+        return asked == 0 ? 1.0 : static_cast<double>(count) / static_cast<double>(asked);
     }
 };
 
@@ -97,6 +116,11 @@
         sums.rejected += each.outcome == request_outcome::Rejected ? 1 : 0;
         sums.failed += each.outcome == request_outcome::Failed ? 1 : 0;
         sums.rejectedFirst += each.rejectedFirst ? 1 : 0;
+        const bool answered = each.outcome == request_outcome::OnTime || each.outcome == request_outcome::Late;
+        sums.servedAtOnce += answered && !each.rejectedFirst ? 1 : 0;
+        sums.returned += each.returned ? 1 : 0;
+        sums.returnedAsNamed += each.returnedAsNamed ? 1 : 0;
+        sums.admittedAsNamed += each.returnedAsNamed && each.returnAdmitted ? 1 : 0;
     }
 
     std::vector<request_record> m_requests;
