Gateways admit what groups were seen to answer on time

What callers saw: at 1.5 times the capacity the same groups answered 280 requests on time in 2 s where they answered 459 in calm; the rest was late by little, or came back after a rejection.

Cause: admission rested on published figures. So the published peak cannot be reached by several gateways, and nothing noticed.

Change: gateways report per group how many first attempts were answered and how many late. Control learns from the sums a factor on the published capacity of each model (capacity_estimate) and grants it to all gateways. Sums of few requests are smoothed. A rejected caller is asked to return no sooner than a returning request can be told from a first attempt; those that came sooner were counted as new and admitted first.

--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -56,6 +56,8 @@
     std::uint32_t prefillTokens = 0; /**< Prompt tokens of requests whose answer has not begun. */
     bool progressing = false; /**< Whether the group sent bytes within the last second. */
     std::uint32_t tokensPerSecond = 0; /**< Prompt tokens sent to the group within the last second. */
+    std::uint32_t answered = 0; /**< First attempts within the last second whose first event came, or whose objective passed without one. */
+    std::uint32_t late = 0; /**< Answers that missed the objective of the first event or of a pause within the last second. */
 
     static constexpr auto fields()
     {
@@ -63,7 +65,9 @@
                           field{"running", &group_load::running},
                           field{"unread_tokens", &group_load::prefillTokens},
                           field{"progressing", &group_load::progressing},
-                          field{"tokens_per_second", &group_load::tokensPerSecond});
+                          field{"tokens_per_second", &group_load::tokensPerSecond},
+                          field{"answered", &group_load::answered},
+                          field{"late", &group_load::late});
     }
 };
 
@@ -173,6 +177,17 @@
     }
 };
 
+/** What gateways may send to the groups of a model, as learned from the answers of all of them. */
+struct model_capacity {
+    model_id model;
+    double factor = 1.0; /**< On the capacity that the published figures give. */
+
+    static constexpr auto fields()
+    {
+        return std::tuple(field{"model", &model_capacity::model}, field{"factor", &model_capacity::factor});
+    }
+};
+
 /** A gateway's status report to the leader, which also asks to renew its serving lease. */
 struct gateway_report {
     std::uint64_t round = 0; /**< Echoed in the grant. */
@@ -186,6 +201,7 @@
     std::vector<leaving_backend> leaving; /**< Backend servers that control still publishes as ready. */
     std::vector<backend_id> answering; /**< Backend servers outside groups that have answered lately. */
     std::vector<class_demand> classDemand;
+    std::vector<model_capacity> capacities; /**< As last granted, from which a new leader goes on. */
 
     static constexpr auto fields()
     {
@@ -199,7 +215,8 @@
                           field{"request_limits", &gateway_report::requestLimits},
                           field{"leaving", &gateway_report::leaving},
                           field{"answering", &gateway_report::answering},
-                          field{"class_demand", &gateway_report::classDemand});
+                          field{"class_demand", &gateway_report::classDemand},
+                          field{"capacities", &gateway_report::capacities});
     }
 };
 
@@ -226,6 +243,7 @@
     std::vector<service_trait> suspects{}; /**< Traits that several crashes have in common. */
     std::vector<request_share> requestShares{}; /**< Of published request limits; of those that are missing, this gateway has no share. */
     std::vector<class_demand> classDemand{}; /**< Demand at all gateways, this one included. */
+    std::vector<model_capacity> capacities{}; /**< Of the models that callers request. */
 
     static constexpr auto fields()
     {
@@ -238,7 +256,8 @@
                           field{"asked", &gateway_grant::modelTraffic},
                           field{"suspects", &gateway_grant::suspects},
                           field{"request_shares", &gateway_grant::requestShares},
-                          field{"class_demand", &gateway_grant::classDemand});
+                          field{"class_demand", &gateway_grant::classDemand},
+                          field{"capacities", &gateway_grant::capacities});
     }
 };
 
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carawayloft/fleet/backend_view.h>
+#include <carawayloft/fleet/capacity_estimate.h>
 #include <carawayloft/fleet/crash_correlator.h>
 #include <carawayloft/fleet/fleet_pipe_messages.h>
 #include <carawayloft/fleet/request_shares.h>
@@ -94,6 +95,10 @@
     std::vector<request_share> sharesOf(link_id gateway);
     fleet_traffic totalTraffic() const;
     const std::vector<class_demand> &totalClassDemand();
+    void adoptCapacities(const std::vector<model_capacity> &capacities);
+    void learnCapacities();
+    capacity_observation observeModel(const engine_profile &engine, const model_profile &model, const fleet_traffic &traffic) const;
+    std::vector<model_capacity> capacities() const;
     double trafficConfidence() const;
 
     time_point m_now;
@@ -108,6 +113,8 @@
     backend_registry m_registry;
     group_controller m_controller;
     request_shares m_requestShares;
+    std::map<model_id, capacity_estimate> m_capacities;
+    time_point m_capacitiesLearnedAt;
     crash_correlator m_correlator;
     std::set<service_trait> m_quarantinedTraits;
     std::vector<departure_record> m_departures;
--- a/include/carawayloft/fleet/fleet_utility.h
+++ b/include/carawayloft/fleet/fleet_utility.h
@@ -25,6 +25,9 @@
     /** Fraction of the traffic of the model that this many groups serve in time while none is lost. */
     double onTimeFraction(const model_id &model, std::size_t groups) const;
 
+    /** The same if groups answer this part of what the published figures promise. */
+    double onTimeFraction(const model_id &model, std::size_t groups, double capacityFactor) const;
+
     const std::vector<model_profile> &models() const
     {
         return m_engine->models;
@@ -54,6 +57,7 @@
     double expectedWork(const fleet_groups &groups) const;
     double workAfterGroupLoss(const fleet_groups &groups) const;
     double workAfterDomainLoss(const fleet_composition &fleet, const fleet_groups &groups) const;
+    const model_demand &demandFor(const model_id &model) const;
     static double shareOf(const model_demand &demand, std::size_t groups);
     static double expectedShare(const model_demand &demand, const model_groups &groups);
 
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carawayloft/fleet/backend_registry.h>
+#include <carawayloft/fleet/capacity_estimate.h>
 #include <carawayloft/fleet/domain_pool.h>
 #include <carawayloft/fleet/engine_order.h>
 #include <carawayloft/fleet/group_closure.h>
@@ -20,6 +21,7 @@
     bool trafficStarted = true; /**< Whether callers may have sent requests; before that, the rate limit of the weight store is not applied. */
     fleet_traffic modelTraffic; /**< Demand by callers, as gateways report it. */
     double trafficConfidence = 0.0; /**< From 0 to 1: how well modelTraffic represents the total demand. */
+    std::map<model_id, capacity_estimate> capacities{}; /**< Learned from the answers of groups; without an entry, the published figures hold. */
 };
 
 // Inputs.
@@ -83,6 +85,8 @@
     std::size_t groups = 0; /**< Groups in any phase but closing. */
     std::size_t plannedGroups = 0;
     double onTimeShare = 0.0; /**< Fraction of the demand that the groups are expected to serve in time. */
+    double observedOnTimeShare = 1.0; /**< Fraction of the admitted first attempts that was on time within the last second. */
+    double capacityFactor = 1.0; /**< Learned capacity over the published one. */
 };
 
 using group_controller_output = std::variant<engine_order_requested, group_changed, group_retired, group_records_proposed, model_assessed>;
--- a/include/carawayloft/gateway/admission_messages.h
+++ b/include/carawayloft/gateway/admission_messages.h
@@ -36,6 +36,7 @@
     client_account_id account;
     bool isReturning = false; /**< Rejected before, so it can hardly meet its objective. */
     duration timeLeft{0}; /**< Until the time limit of the caller. */
+    duration earliestReturn{0}; /**< A caller that returns sooner cannot be told from one that comes for the first time. */
 };
 
 /** When the caller of a request should return that was admitted, but has not been sent to a backend server. */
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -66,6 +66,9 @@
     /** Maximum calls for one request, including those that servers rejected without running it. */
     static constexpr std::uint32_t maxSends = 4;
 
+    /** Most of the route's time limit that a returning request has left. First attempts differ in their time limits, too, but not by so much. */
+    static constexpr double maxReturningTimeShare = 0.8;
+
     /** A request of a caller that has not been answered yet. */
     struct request_context {
         gateway_request request;
@@ -85,6 +88,8 @@
         time_point sentAt;
         time_point progressAt; /**< Last progress of the call in flight, or its start: whole events of a stream, else bytes. */
         std::optional<time_point> answerBegunAt; /**< First event or bytes of the call in flight. */
+        bool isCounted = false; /**< Among the answers from which the capacity of groups is learned. */
+        bool isCountedLate = false;
         bool survivalRecorded = false; /**< The server has survived the beginning of the answer in flight. */
         std::uint32_t sendCount = 0;
         std::uint32_t possibleRuns = 0; /**< Backend servers that may have run the request. */
@@ -128,6 +133,7 @@
     bool isAwaitingControl() const;
     void admitDeferred();
     void admit(request_context &context);
+    static bool isReturning(const gateway_request &request, const service_route &route);
     std::optional<error> resolve(request_context &context, std::uint32_t &status);
     const service_settings *chooseService(const service_route &route, const service_configuration &configuration);
     void recordTraffic(const request_context &context);
@@ -167,6 +173,8 @@
     void handle(const backend_call_failed &in);
     void handle(const answer_bytes_taken &in);
     void relay(request_context &context, std::string events);
+    void countAnswer(request_context &context, bool isLate);
+    void countOverdue(request_context &context);
     std::size_t keptAnswerBytes() const;
     request_context *findByCall(backend_call_id call);
     void recordProgress(request_context &context);
--- a/include/carawayloft/gateway/group_monitor.h
+++ b/include/carawayloft/gateway/group_monitor.h
@@ -2,6 +2,7 @@
 
 #include <carawayloft/fleet/engine_timing.h>
 #include <carawayloft/fleet/fleet_messages.h>
+#include <carawayloft/gateway/sliding_window_counter.h>
 
 #include <deque>
 #include <map>
@@ -34,6 +35,12 @@
 
     void removeCall(backend_call_id call);
 
+    /** Counts a first attempt whose first event came, or whose objective passed without one. */
+    void recordAnswer(time_point now);
+
+    /** Counts an answer that missed the objective of the first event or of a pause. */
+    void recordLateAnswer(time_point now);
+
     /** Sets the load that @p gateways other gateways have reported to control. */
     void updateOtherGateways(const group_load &others, std::uint32_t gateways, time_point now);
 
@@ -70,6 +77,12 @@
      */
     prompt_forecast forecast(token_count promptTokens, time_point now) const;
 
+    /** Whether no call of this gateway is in flight. */
+    bool isIdle() const
+    {
+        return m_calls.empty();
+    }
+
     duration silence(time_point now) const;
     /** Time since the last report of the load of other gateways. */
     duration loadAge(time_point now) const;
@@ -79,7 +92,7 @@
     {
         return m_others.running;
     }
-    group_load ownLoad(group_epoch epoch, time_point now) const;
+    group_load ownLoad(group_epoch epoch, time_point now);
 
     /** Factor by which the group takes longer than its engines' published figures. */
     double slowdown() const
@@ -125,6 +138,8 @@
     group_load m_others;
     std::uint32_t m_otherGateways = 0;
     std::deque<std::pair<time_point, token_count>> m_recentPrompts; /**< Send time and length of the prompts of the last second. */
+    sliding_window_counter m_answered;
+    sliding_window_counter m_late;
     bool m_hasHadCall = false;
     time_point m_firstCallAt; /**< Before the first call: creation of the monitor. */
     time_point m_othersUpdatedAt;
--- a/include/carawayloft/gateway/retry_schedule.h
+++ b/include/carawayloft/gateway/retry_schedule.h
@@ -23,11 +23,11 @@
     }
 
     /**
-     * Takes the next free slot for a caller with @p timeLeft.
+     * Takes the next free slot for a caller with @p timeLeft, not before @p earliest from now.
      *
      * @param slotsPerSecond Requests per second for which there will be capacity, or nothing if it is not known.
      */
-    retry_time next(std::optional<double> slotsPerSecond, duration timeLeft, time_point now);
+    retry_time next(std::optional<double> slotsPerSecond, duration timeLeft, duration earliest, time_point now);
 
 private:
     duration draw(duration least, duration most);
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -345,7 +345,7 @@
     m_reconcileDue = m_now + reconcilePeriod;
     // Without the lease another replica may order the same engines, and nothing is decided that would need an order.
     if (m_holdsLease) {
-        stepController(reconcile_groups{{m_registry, m_services, m_zonesOut, m_trafficStarted, totalTraffic(), trafficConfidence()}});
+        stepController(reconcile_groups{{m_registry, m_services, m_zonesOut, m_trafficStarted, totalTraffic(), trafficConfidence(), m_capacities}});
     }
 }
 
--- a/src/fleet_pipe/fleet_pipe_gateways.cpp
+++ b/src/fleet_pipe/fleet_pipe_gateways.cpp
@@ -1,6 +1,7 @@
 #include <carawayloft/fleet/fleet_pipe.h>
 
 #include <carawayloft/fleet/class_demand_sum.h>
+#include <carawayloft/fleet/group_goodput.h>
 
 #include <algorithm>
 
@@ -19,6 +20,8 @@
  * with hundreds of gateways a sum has tens of thousands of entries.
  */
 static constexpr duration classDemandTime{100};
+/** Time between two looks at the outcomes that gateways report. */
+static constexpr duration capacityLearningPeriod{250};
 
 /** Time from the first known traffic until the gateways' averages represent the full demand. */
 static constexpr std::chrono::duration<double> trafficAveragingTime{9.0};
@@ -65,6 +68,8 @@
     for (const leaving_backend &each : in.report.leaving) {
         stepRegistry(backend_leaving{each.backend, each.startedAt}, "server said in an answer that it leaves");
     }
+    adoptCapacities(in.report.capacities);
+    learnCapacities();
     gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}, m_correlator.suspects(), sharesOf(in.gateway)};
     std::map<group_epoch, group_load> others;
     for (const auto &[link, each] : m_gateways) {
@@ -87,6 +92,7 @@
         grant.modelTraffic.push_back(demand);
     }
     grant.classDemand = totalClassDemand();
+    grant.capacities = capacities();
     m_out.emplace_back(grant_to_gateway{in.gateway, std::move(grant)});
     for (const backend_id &each : in.report.unreachable) {
         handleUnreachableReport(each);
@@ -161,4 +167,67 @@
     return sums;
 }
 
+/** Goes on from what the gateways were granted by the leader before, for models of which this one has learned nothing yet. */
+void fleet_pipe::adoptCapacities(const std::vector<model_capacity> &capacities)
+{
+    for (const model_capacity &each : capacities) {
+        m_capacities.try_emplace(each.model, each.factor);
+    }
+}
+
+/** Learns from the answers that all gateways reported how much the groups of each model take. */
+void fleet_pipe::learnCapacities()
+{
+    if (m_now < m_capacitiesLearnedAt + capacityLearningPeriod) {
+        return;
+    }
+    m_capacitiesLearnedAt = m_now;
+    const fleet_traffic traffic = totalTraffic();
+    for (const service_settings &service : m_services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const model_profile &model : service.engine->models) {
+            m_capacities[model.model].record(observeModel(*service.engine, model, traffic), m_now);
+        }
+    }
+}
+
+capacity_observation fleet_pipe::observeModel(const engine_profile &engine, const model_profile &model, const fleet_traffic &traffic) const
+{
+    capacity_observation seen;
+    std::map<group_epoch, group_outcome> outcomes;
+    for (const engine_group &each : m_controller.groups()) {
+        if (each.model == model.model && each.phase == group_phase::Open) {
+            outcomes[each.epoch] = {};
+        }
+    }
+    for (const auto &[link, gateway] : m_gateways) {
+        for (const group_load &load : gateway.loads) {
+            if (const auto found = outcomes.find(load.epoch); found != outcomes.end()) {
+                found->second.answered += load.answered;
+                found->second.late += load.late;
+            }
+        }
+    }
+    for (const auto &[epoch, outcome] : outcomes) {
+        seen.groups.push_back(outcome);
+    }
+    const auto demand = traffic.find(model.model);
+    if (demand != traffic.end()) {
+        seen.demand = demand->second.recentRequestsPerSecond + demand->second.returningPerSecond;
+        seen.publishedCapacity = static_cast<double>(outcomes.size()) * group_goodput(engine, model, demand->second).peakRate();
+    }
+    return seen;
+}
+
+std::vector<model_capacity> fleet_pipe::capacities() const
+{
+    std::vector<model_capacity> out;
+    for (const auto &[model, estimate] : m_capacities) {
+        out.push_back({model, estimate.factor()});
+    }
+    return out;
+}
+
 } // namespace carawayloft
--- a/src/fleet_pipe/fleet_utility.cpp
+++ b/src/fleet_pipe/fleet_utility.cpp
@@ -59,10 +59,25 @@
     return demand.shares[groups];
 }
 
-double fleet_utility::onTimeFraction(const model_id &model, std::size_t groups) const
+const fleet_utility::model_demand &fleet_utility::demandFor(const model_id &model) const
 {
     const auto found = std::find_if(models().begin(), models().end(), [&](const model_profile &each) { return each.model == model; });
-    return shareOf(m_demands.at(static_cast<std::size_t>(found - models().begin())), groups);
+    return m_demands.at(static_cast<std::size_t>(found - models().begin()));
+}
+
+double fleet_utility::onTimeFraction(const model_id &model, std::size_t groups) const
+{
+    return shareOf(demandFor(model), groups);
+}
+
+double fleet_utility::onTimeFraction(const model_id &model, std::size_t groups, double capacityFactor) const
+{
+    const model_demand &demand = demandFor(model);
+    const double capacity = static_cast<double>(groups) * capacityFactor;
+    if (demand.requestsPerSecond <= 0.0 || capacity <= 0.0) {
+        return shareOf(demand, groups);
+    }
+    return demand.goodput.onTimeShare(demand.requestsPerSecond / capacity);
 }
 
 /** Probability of each number of serving groups, if each is out for this fraction of the time independently of the others. */
--- a/src/fleet_pipe/group_controller_formation.cpp
+++ b/src/fleet_pipe/group_controller_formation.cpp
@@ -22,7 +22,7 @@
 static constexpr duration arrivalQuietPeriod{350};
 
 /** Maximum time between two reports of the state of a model. */
-static constexpr duration assessmentInterval{5'000};
+static constexpr duration assessmentInterval{1'000};
 
 /** Minimum weight of a model's configured traffic share, even when no traffic is observed. */
 static constexpr double minPriorWeight = 0.05;
@@ -222,7 +222,11 @@
         if (const auto found = m_context->modelTraffic.find(model); found != m_context->modelTraffic.end()) {
             now.requestsPerSecond = found->second.requestsPerSecond;
         }
-        now.onTimeShare = utility.onTimeFraction(model, now.groups);
+        if (const auto learned = m_context->capacities.find(model); learned != m_context->capacities.end()) {
+            now.observedOnTimeShare = learned->second.onTimeShare();
+            now.capacityFactor = learned->second.factor();
+        }
+        now.onTimeShare = utility.onTimeFraction(model, now.groups, now.capacityFactor);
         const auto last = m_assessed.find(model);
         const bool changed = last == m_assessed.end() || last->second.groups != now.groups || last->second.plannedGroups != now.plannedGroups;
         if (changed || m_now >= m_assessedAt[model] + assessmentInterval) {
--- a/src/gateway_pipe/admission_control.cpp
+++ b/src/gateway_pipe/admission_control.cpp
@@ -18,6 +18,12 @@
  */
 static constexpr double maxGrantStep = 2.0;
 
+/**
+ * Requests per second at which a new sum counts as much as the one before. Sums cover half a second, so that of a few
+ * requests a second chance alone makes them differ by half.
+ */
+static constexpr double steadyRate = 80.0;
+
 /** Time for which an assessed capacity is used. Adding it up over all groups takes longer than one decision may. */
 static constexpr duration capacityTime{100};
 
@@ -94,7 +100,8 @@
         const double lowest = state.firstAttempts * std::min(1.0, growth) / maxGrantStep;
         const double bounded = highest > 0.0 ? std::clamp(total, std::min(lowest, highest), highest) : total;
         returning *= total > 0.0 ? std::min(1.0, bounded / total) : 1.0;
-        total = bounded;
+        const double weight = bounded / (bounded + steadyRate);
+        total = state.firstAttempts + weight * (bounded - state.firstAttempts);
     }
     total = std::max(total, state.own);
     auto demand = std::make_shared<const admission_demand>(std::move(classes));
@@ -208,7 +215,7 @@
         const double freeRate = std::max(0.0, *state.capacity - decision.demand);
         rate = request.isReturning ? 0.0 : freeRate * std::clamp(ownPart, minPart * equalPart, 1.0);
     }
-    const retry_time named = state.schedule.next(rate, request.timeLeft, m_now);
+    const retry_time named = state.schedule.next(rate, request.timeLeft, request.earliestReturn, m_now);
     decision.retryAfter = named.after;
     decision.hasSlot = named.hasSlot;
 }
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -11,9 +11,6 @@
 static constexpr int waitDivisor = 4;
 static constexpr duration maxWait{1'200};
 
-/** Most of the route's time limit that a returning request has left. First attempts differ in their time limits, too, but not by so much. */
-static constexpr double maxReturningTimeShare = 0.8;
-
 /** Retry delay while this process has no connection to control: about the time that finding a new leader takes. */
 static constexpr duration controlRetryAfter{800};
 
@@ -93,7 +90,7 @@
 }
 
 /** Whether the caller has been rejected before: it states what is left of its time limit, and will not return once more. */
-static bool isReturning(const gateway_request &request, const service_route &route)
+bool gateway_pipe::isReturning(const gateway_request &request, const service_route &route)
 {
     return request.timeLimit.count() > 0 && request.timeLimit < maxReturningTimeShare * route.timeLimit;
 }
@@ -359,6 +356,7 @@
             if (found->second.window.isPaused()) {
                 recordProgress(found->second); // Its silence is that of the caller.
             }
+            countOverdue(found->second);
             checkTimeouts(found->second);
         }
     }
--- a/src/gateway_pipe/gateway_pipe_admission.cpp
+++ b/src/gateway_pipe/gateway_pipe_admission.cpp
@@ -11,7 +11,8 @@
 admission_request gateway_pipe::admissionRequestOf(const request_context &context) const
 {
     const auto timeLeft = std::chrono::duration_cast<duration>(context.deadline - m_now);
-    return {context.request.model, context.rank, context.account, context.isLate, timeLeft};
+    const auto returningLimit = std::chrono::duration_cast<duration>(maxReturningTimeShare * context.route->timeLimit);
+    return {context.request.model, context.rank, context.account, context.isLate, timeLeft, std::max(duration(0), timeLeft - returningLimit)};
 }
 
 dispatch_precedence gateway_pipe::precedenceOf(const request_context &context) const
@@ -70,7 +71,7 @@
 void gateway_pipe::rejectForOverload(request_context &context, error why)
 {
     if (modelOf(context) == nullptr) {
-        const retry_time named = m_retrySchedule.next(std::nullopt, admissionRequestOf(context).timeLeft, m_now);
+        const retry_time named = m_retrySchedule.next(std::nullopt, admissionRequestOf(context).timeLeft, duration(0), m_now);
         reject(context, http_status::serviceUnavailable, std::move(why), run_outcome::DidNotRun, named.after);
         return;
     }
--- a/src/gateway_pipe/gateway_pipe_answers.cpp
+++ b/src/gateway_pipe/gateway_pipe_answers.cpp
@@ -132,13 +132,42 @@
         recordProgress(*context);
         context->answerBegunAt = context->answerBegunAt.value_or(m_now);
         recordAnswerProgress(*context, false);
-        if (context->eventRelayed) {
-            context->longestPause = std::max(context->longestPause, std::chrono::duration_cast<duration>(m_now - context->lastRelayedAt));
+        const bool isFirst = !context->eventRelayed;
+        const auto pause = std::chrono::duration_cast<duration>(m_now - context->lastRelayedAt);
+        if (!isFirst) {
+            context->longestPause = std::max(context->longestPause, pause);
         }
+        const duration longest = context->route->longestPause;
+        countAnswer(*context, isFirst ? m_now > context->arrivedAt + context->route->objective : longest.count() > 0 && pause > longest);
         relay(*context, std::move(events));
     }
 }
 
+/** Counts an answer from which the capacity of groups is learned: a first attempt that one group served all the time. */
+void gateway_pipe::countAnswer(request_context &context, bool isLate)
+{
+    group_monitor *monitor = monitorFor(context.group);
+    if (monitor == nullptr || context.isLate || context.sendCount > 1 || monitor->isSuspended(m_now)) {
+        return;
+    }
+    if (!context.isCounted) {
+        context.isCounted = true;
+        monitor->recordAnswer(m_now);
+    }
+    if (isLate && !context.isCountedLate) {
+        context.isCountedLate = true;
+        monitor->recordLateAnswer(m_now);
+    }
+}
+
+/** Counts a call whose objective has passed without an event. */
+void gateway_pipe::countOverdue(request_context &context)
+{
+    if (context.call.value() != 0 && !context.eventRelayed && m_now > context.arrivedAt + context.route->objective) {
+        countAnswer(context, true);
+    }
+}
+
 /** Passes events on to the caller, and stops reading from the server once the caller has too many to take. */
 void gateway_pipe::relay(request_context &context, std::string events)
 {
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -69,8 +69,7 @@
             probeMembers(group);
         }
     }
-    std::erase_if(
-        m_groupMonitors, [this](const auto &each) { return !m_view.groups().contains(each.first) && each.second.ownLoad(each.first, m_now).running == 0; });
+    std::erase_if(m_groupMonitors, [this](const auto &each) { return !m_view.groups().contains(each.first) && each.second.isIdle(); });
     std::erase_if(m_unreachableUntil, [this](const auto &each) { return m_now >= each.second; });
 }
 
@@ -228,6 +227,7 @@
     m_reportedAt.erase(m_reportedAt.begin(), std::next(reported));
     m_limiter.setGateways(grant.gateways, m_now);
     m_peakRates.setTraffic(grant.modelTraffic);
+    m_peakRates.setCapacities(grant.capacities);
     m_admission.step(demand_granted{grant.modelTraffic, grant.classDemand, grant.gateways}, m_now);
     m_crashWitness.setSuspects(grant.suspects);
     m_requestShares.clear();
@@ -280,7 +280,7 @@
     gateway_report report;
     report.round = ++m_lastRound;
     report.at = m_fleet.state().at();
-    for (const auto &[epoch, monitor] : m_groupMonitors) {
+    for (auto &[epoch, monitor] : m_groupMonitors) {
         report.loads.push_back(monitor.ownLoad(epoch, m_now));
     }
     for (const auto &[backend, until] : m_unreachableUntil) {
@@ -294,6 +294,7 @@
     report.requestLimits = m_limitObservations.report(m_now);
     report.leaving = unpublishedLeaving();
     report.answering = answeringServers();
+    report.capacities = m_peakRates.capacities();
     m_reportedAt.emplace(m_lastRound, m_now);
     while (m_reportedAt.size() > maxPendingReports) {
         m_reportedAt.erase(m_reportedAt.begin());
--- a/src/gateway_pipe/group_monitor.cpp
+++ b/src/gateway_pipe/group_monitor.cpp
@@ -49,6 +49,8 @@
 group_monitor::group_monitor(const engine_profile &engine, const model_profile &model, time_point now)
     : m_engine(engine)
     , m_model(model)
+    , m_answered(rateWindow)
+    , m_late(rateWindow)
     , m_firstCallAt(now)
     , m_othersUpdatedAt(now)
     , m_progressAt(now)
@@ -98,6 +100,16 @@
     m_calls.erase(call);
 }
 
+void group_monitor::recordAnswer(time_point now)
+{
+    m_answered.add(now);
+}
+
+void group_monitor::recordLateAnswer(time_point now)
+{
+    m_late.add(now);
+}
+
 void group_monitor::updateOtherGateways(const group_load &others, std::uint32_t gateways, time_point now)
 {
     m_others = others;
@@ -253,10 +265,12 @@
     return std::chrono::duration_cast<duration>(now - m_othersUpdatedAt);
 }
 
-group_load group_monitor::ownLoad(group_epoch epoch, time_point now) const
+group_load group_monitor::ownLoad(group_epoch epoch, time_point now)
 {
     group_load own{epoch, static_cast<std::uint32_t>(m_calls.size()), 0, now < m_progressAt + progressWindow, promptTokensSince(now - rateWindow)};
     own.prefillTokens = ownPrefillTokens(time_point::min(), now);
+    own.answered = static_cast<std::uint32_t>(m_answered.count(now));
+    own.late = static_cast<std::uint32_t>(m_late.count(now));
     // The progress time is also set by the first call, which is no progress of the group.
     own.progressing = own.progressing && hasAnswer();
     return own;
--- a/src/gateway_pipe/group_peak_rates.cpp
+++ b/src/gateway_pipe/group_peak_rates.cpp
@@ -2,6 +2,8 @@
 
 #include <carawayloft/fleet/group_goodput.h>
 
+#include <algorithm>
+
 namespace carawayloft {
 
 void group_peak_rates::setTraffic(const std::vector<model_traffic> &traffic)
@@ -15,7 +17,13 @@
 std::optional<double> group_peak_rates::peakRate(const engine_profile &engine, const model_profile &model) const
 {
     const auto found = m_traffic.find(model.model);
-    return found == m_traffic.end() ? std::nullopt : std::optional(group_goodput(engine, model, found->second).peakRate());
+    return found == m_traffic.end() ? std::nullopt : std::optional(capacityFactor(model.model) * group_goodput(engine, model, found->second).peakRate());
+}
+
+double group_peak_rates::capacityFactor(const model_id &model) const
+{
+    const auto found = std::find_if(m_capacities.begin(), m_capacities.end(), [&](const model_capacity &each) { return each.model == model; });
+    return found == m_capacities.end() ? 1.0 : found->factor;
 }
 
 } // namespace carawayloft
--- a/src/gateway_pipe/traffic_meter.cpp
+++ b/src/gateway_pipe/traffic_meter.cpp
@@ -8,7 +8,7 @@
 static constexpr duration meterWindow{8'000};
 
 /** Window of the recent rates, within which a rise of the traffic should show. */
-static constexpr duration recentWindow{2'000};
+static constexpr duration recentWindow{500};
 
 void traffic_meter::count(const model_id &model, token_count promptTokens, token_count answerTokens, engine_duration objective, time_point now)
 {
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -167,12 +167,16 @@
               {"requests_per_second", static_cast<std::uint64_t>(out.requestsPerSecond)},
               {"groups", out.groups},
               {"planned", out.plannedGroups},
-              {"on_time_per_thousand", static_cast<std::uint64_t>(thousand * out.onTimeShare)}});
+              {"on_time_per_thousand", static_cast<std::uint64_t>(thousand * out.onTimeShare)},
+              {"observed_on_time_per_thousand", static_cast<std::uint64_t>(thousand * out.observedOnTimeShare)},
+              {"capacity_per_thousand", static_cast<std::uint64_t>(thousand * out.capacityFactor)}});
     const std::string label = "model=\"" + out.model.value() + "\"";
     m_metrics.setGauge("carawayloft_model_requests_per_second", label, out.requestsPerSecond);
     m_metrics.setGauge("carawayloft_model_groups", label, static_cast<double>(out.groups));
     m_metrics.setGauge("carawayloft_model_groups_planned", label, static_cast<double>(out.plannedGroups));
     m_metrics.setGauge("carawayloft_model_on_time_expected", label, out.onTimeShare);
+    m_metrics.setGauge("carawayloft_model_on_time_observed", label, out.observedOnTimeShare);
+    m_metrics.setGauge("carawayloft_model_capacity_factor", label, out.capacityFactor);
 }
 
 void control_task::execute(const crash_recorded &out)
--- a/tests/fleet/fleet_pipe_test.cpp
+++ b/tests/fleet/fleet_pipe_test.cpp
@@ -118,3 +118,13 @@
     EXPECT_DOUBLE_EQ(lastGrant.classDemand.front().requestsPerSecond, 1'000.0);
     EXPECT_EQ(lastGrant.classDemand.back().otherAccounts, 389U * 64U + 1U - 64U);
 }
+
+// Guards against overload after a change of leader: the new one would start from the published figures.
+TEST_F(FleetPipe, ANewLeaderGoesOnFromTheCapacityThatGatewaysWereGranted)
+{
+    gateway_report report;
+    report.capacities = {{model_id("large"), 0.6}};
+    step(gateway_reported{link_id(1), report, revision(), {}});
+    ASSERT_EQ(lastGrant.capacities.size(), 1U);
+    EXPECT_DOUBLE_EQ(lastGrant.capacities.front().factor, 0.6);
+}
