--- a/src/fleet_pipe/fleet_pipe_gateways.cpp
+++ b/src/fleet_pipe/fleet_pipe_gateways.cpp
@@ -71,7 +71,9 @@
     for (const leaving_backend &each : in.report.leaving) {
         stepRegistry(backend_leaving{each.backend, each.startedAt}, "server said in an answer that it leaves");
     }
-    adoptCapacities(in.report.capacities);
+    if (isNew) {
+        adoptCapacities(in.report.capacities); // Later reports carry what this leader granted.
+    }
     learnCapacities();
     gateway_grant grant{in.report.round, in.at, gatewayLease, countRecentGateways(), {}, in.replicas, {}, m_correlator.suspects(), sharesOf(in.gateway)};
     std::map<group_epoch, group_load> others;
