HTTP server tests listen on a port that the system chooses

One could not listen, another was sent the requests of a third, and one crashed for want of a server. The port also lies in the range from which the process tests draw theirs.

The tests ask for port 0, and http_server tells which port it got (listeningPort). No check was changed.

--- a/src/ends/http_port.cpp
+++ b/src/ends/http_port.cpp
@@ -196,6 +196,13 @@
     }
 }
 
+std::uint16_t http_port::listeningPort() const
+{
+    std::error_code notListening;
+    const auto at = m_acceptor.local_endpoint(notListening);
+    return notListening ? std::uint16_t{0} : at.port();
+}
+
 void http_port::stopListening()
 {
     m_closeBy = std::chrono::steady_clock::now() + maxCloseTime;
--- a/src/ends/http_port.h
+++ b/src/ends/http_port.h
@@ -35,6 +35,9 @@
     /** Connections that the system has accepted and that are not served yet would be reset, so they are taken first. */
     void stopListening();
 
+    /** Zero unless it listens. */
+    std::uint16_t listeningPort() const;
+
     /** Closes everything and calls no handler from now on. */
     void shutDown();
 
--- a/src/ends/http_server.cpp
+++ b/src/ends/http_server.cpp
@@ -152,6 +152,11 @@
     m_impl->port().stopListening();
 }
 
+std::uint16_t http_server::listeningPort() const
+{
+    return m_impl->port().listeningPort();
+}
+
 std::size_t http_server::connections() const
 {
     return m_impl->port().connections();
--- a/src/ends/http_server.h
+++ b/src/ends/http_server.h
@@ -9,6 +9,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstdint>
+
 namespace carawayloft {
 
 /** Serves HTTP on its owner's io_context and turns each whole request into one call. */
@@ -29,6 +31,9 @@
     /** Accepts no more connections; requests in flight go on. */
     void stopListening();
 
+    /** The port listened on: the one that the system chose if port 0 was asked for. Zero once it has stopped listening. */
+    std::uint16_t listeningPort() const;
+
     std::size_t connections() const;
 
     /** Bytes that count against http_limits::maxHeldBytes. */
--- a/tests/ends/http_server_test.cpp
+++ b/tests/ends/http_server_test.cpp
@@ -22,7 +22,7 @@
     {
         auto created = http_server::create(
             m_context,
-            endpoint(address),
+            endpoint("127.0.0.1:0"),
             limits,
             [this](http_request request, std::shared_ptr<http_exchange> exchange) {
                 m_requests.push_back(std::move(request));
@@ -43,7 +43,7 @@
     asio::ip::tcp::socket connect()
     {
         asio::ip::tcp::socket socket(m_context);
-        socket.connect({asio::ip::make_address("127.0.0.1"), port});
+        socket.connect({asio::ip::make_address("127.0.0.1"), m_server->listeningPort()});
         return socket;
     }
 
@@ -79,9 +79,6 @@
         return all;
     }
 
-    static constexpr const char *address = "127.0.0.1:28651";
-    static constexpr std::uint16_t port = 28'651;
-
     asio::io_context m_context{1};
     std::vector<http_request> m_requests;
     std::vector<std::shared_ptr<http_exchange>> m_exchanges;
