--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -161,6 +161,8 @@
         return {"disk_full", severity::Error};
     case event_number::DiskWritable:
         return {"disk_writable", severity::Info};
+    case event_number::OperatorRequestAnswered:
+        return {"operator_request_answered", severity::Info};
     case event_number::GroupPlaced:
         return {"group_placed", severity::Info};
     case event_number::GroupDissolved:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -84,6 +84,7 @@
     DiskSpaceLow = 410,
     DiskFull = 411,
     DiskWritable = 412,
+    OperatorRequestAnswered = 413,
     GroupPlaced = 500,
     GroupDissolved = 501,
     MemberReplaced = 502,
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -45,6 +45,8 @@
     struct waiting_request {
         std::shared_ptr<http_exchange> exchange;
         std::function<http_response(revision at)> makeResponse;
+        std::string subject; /**< What an operator asked for; empty if the answer is not logged. */
+        time_point receivedAt;
     };
 
     control_task(asio::io_context &context, const settings &loaded, const front_end *frontEnd, std::function<void(bool)> onEnded);
@@ -130,7 +132,8 @@
     // Requests through the installation's front end.
     /** Returns false if the request does not belong to the front end. */
     bool serveFrontEnd(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
-    void redirectToLeader(const http_request &request, http_exchange &exchange) const;
+    /** Returns the status of the answer. */
+    std::uint32_t redirectToLeader(const http_request &request, http_exchange &exchange) const;
     void serveControlRequest(const configuration_change &request, const std::shared_ptr<http_exchange> &exchange);
     void serveControlRequest(const configuration_query &request, const std::shared_ptr<http_exchange> &exchange);
     void serveControlRequest(const zone_change &request, const std::shared_ptr<http_exchange> &exchange);
@@ -142,7 +145,8 @@
     void serve(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     void serveRead(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     void serveCommand(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
-    operator_request_token addWaitingRequest(const std::shared_ptr<http_exchange> &exchange, std::function<http_response(revision)> makeResponse);
+    operator_request_token
+    addWaitingRequest(const std::shared_ptr<http_exchange> &exchange, std::function<http_response(revision)> makeResponse, std::string subject = {});
     void respondError(http_exchange &exchange, const error &failure);
     std::string renderMetrics();
     endpoint leaderHttp() const;
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -287,6 +287,22 @@
     m_links.send(gateway, not_leader{isOtherReplica ? leader->frames : endpoint()});
 }
 
+/** What an operator asked for, for the log; empty for requests that are not logged. */
+static std::string subjectOf(const configuration_change &request)
+{
+    return "configuration " + std::to_string(request.configuration.version.value());
+}
+
+static std::string subjectOf(const zone_change &request)
+{
+    return "availability zone " + request.zone.zone.value();
+}
+
+static std::string subjectOf(const auto &)
+{
+    return {};
+}
+
 bool control_task::serveFrontEnd(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
     const result<std::optional<control_request>> decoded = m_frontEnd->decodeControlRequest(request);
@@ -299,7 +315,11 @@
         return false;
     }
     if (!m_pipe || m_pipe->log().role() != log_role::Leader) {
-        redirectToLeader(request, *exchange);
+        const std::string subject = std::visit([](const auto &each) { return subjectOf(each); }, *valueOf(decoded));
+        const std::uint32_t status = redirectToLeader(request, *exchange);
+        if (!subject.empty()) {
+            logEvent(event_number::OperatorRequestAnswered, {{"subject", subject}, {"status", status}, {"reason", "not the leader"}, {"after_ms", 0}});
+        }
     } else {
         std::visit([&](const auto &each) { serveControlRequest(each, exchange); }, *valueOf(decoded));
     }
@@ -308,9 +328,12 @@
 
 void control_task::serveControlRequest(const configuration_change &request, const std::shared_ptr<http_exchange> &exchange)
 {
-    const operator_request_token token = addWaitingRequest(exchange, [](revision at) {
-        return http_response{200, {{"Content-Type", jsonType}}, encodeAccepted(at)};
-    });
+    const operator_request_token token = addWaitingRequest(
+        exchange,
+        [](revision at) {
+            return http_response{200, {{"Content-Type", jsonType}}, encodeAccepted(at)};
+        },
+        subjectOf(request));
     if (request.configuration.version <= m_pipe->fleet().configuration().version) {
         // An equal or newer version is in force already; a read confirms that this replica is still the leader before it says so.
         run(operator_read{token});
@@ -337,9 +360,12 @@
     if (!m_pipe->fleet().zones().contains(request.zone.zone)) {
         run(operator_change{operator_request_token(), fleet_command{{}, "operator", {}, put_zone{{request.zone.zone, zone_state::Serving}}}, true});
     }
-    const operator_request_token token = addWaitingRequest(exchange, [](revision at) {
-        return http_response{200, {{"Content-Type", jsonType}}, encodeAccepted(at)};
-    });
+    const operator_request_token token = addWaitingRequest(
+        exchange,
+        [](revision at) {
+            return http_response{200, {{"Content-Type", jsonType}}, encodeAccepted(at)};
+        },
+        subjectOf(request));
     run(operator_change{token, fleet_command{{}, "operator", {}, put_zone{request.zone}}, true});
 }
 
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -89,7 +89,7 @@
     }
 }
 
-void control_task::redirectToLeader(const http_request &request, http_exchange &exchange) const
+std::uint32_t control_task::redirectToLeader(const http_request &request, http_exchange &exchange) const
 {
     const endpoint leader = leaderHttp();
     http_response response = jsonResponse(
@@ -99,12 +99,14 @@
         response.headers.emplace("Location", "http://" + leader.value() + request.path + query);
     }
     exchange.respond(response);
+    return response.status;
 }
 
-operator_request_token control_task::addWaitingRequest(const std::shared_ptr<http_exchange> &exchange, std::function<http_response(revision)> makeResponse)
+operator_request_token
+control_task::addWaitingRequest(const std::shared_ptr<http_exchange> &exchange, std::function<http_response(revision)> makeResponse, std::string subject)
 {
     m_lastOperatorToken = next(m_lastOperatorToken);
-    m_waitingRequests.emplace(m_lastOperatorToken, waiting_request{exchange, std::move(makeResponse)});
+    m_waitingRequests.emplace(m_lastOperatorToken, waiting_request{exchange, std::move(makeResponse), std::move(subject), monotonicNow()});
     return m_lastOperatorToken;
 }
 
@@ -159,6 +161,13 @@
     }
     const waiting_request waiting = std::move(found->second);
     m_waitingRequests.erase(found);
+    if (!waiting.subject.empty()) {
+        logEvent(event_number::OperatorRequestAnswered,
+                 {{"subject", waiting.subject},
+                  {"status", failed(out.outcome) ? httpStatus(errorOf(out.outcome).kind) : 200U},
+                  {"reason", failed(out.outcome) ? describe(errorOf(out.outcome)) : std::string()},
+                  {"after_ms", std::chrono::duration_cast<duration>(monotonicNow() - waiting.receivedAt).count()}});
+    }
     if (failed(out.outcome)) {
         respondError(*waiting.exchange, errorOf(out.outcome));
     } else {
