Control has a leader sooner after a restart of all

After a power loss of the whole system callers were answered late for 2.3 s.

- Links of the replicas that were back first hung until 36.90 s: their connections to hosts that were still down waited for the system to repeat the first segment, after a second.
An attempt is given up after 250 ms now.
- The first candidate asked at 36.42 s, while the others did not vote yet, and would have asked again after one or two election timeouts.

--- a/include/carawayloft/control/replicated_log.h
+++ b/include/carawayloft/control/replicated_log.h
@@ -220,6 +220,7 @@
     bool isUpToDate(log_index index, log_term term) const;
     bool hasRecentLeader() const;
     void resetElectionTimer();
+    void resetPreVoteTimer();
     void startElection(bool preVote, bool transfer);
     void becomeFollower(log_term term, replica_id leader);
     void becomeLeader();
--- a/src/control_pipe/replicated_log_election.cpp
+++ b/src/control_pipe/replicated_log_election.cpp
@@ -48,6 +48,13 @@
     m_electionDeadline = m_now + m_options.electionTimeout + duration(spread(m_random));
 }
 
+/** A pre-vote changes no term, so one that fails because others do not vote yet may be repeated soon. */
+void replicated_log::resetPreVoteTimer()
+{
+    std::uniform_int_distribution<duration::rep> spread(0, m_options.electionTimeout.count() / 4);
+    m_electionDeadline = m_now + 2 * m_options.heartbeatPeriod + duration(spread(m_random));
+}
+
 void replicated_log::setHardState(log_term term, replica_id votedFor)
 {
     const hard_state hardState{term, votedFor};
@@ -96,7 +103,7 @@
 
 void replicated_log::startElection(bool preVote, bool transfer)
 {
-    resetElectionTimer();
+    preVote ? resetPreVoteTimer() : resetElectionTimer();
     m_preVoting = preVote;
     m_transferElection = transfer;
     m_votes = {m_options.self};
--- a/src/ends/frame_link.cpp
+++ b/src/ends/frame_link.cpp
@@ -14,8 +14,11 @@
 /** Frames that wait are joined into writes of about this many bytes. */
 static constexpr std::size_t writeBatchBytes = std::size_t{64} << 10U;
 
-/** Time that a connection may take to come about. */
-static constexpr duration connectTimeout{1'000};
+/**
+ * Time that a connection may take to come about. Shorter than the second after which the system repeats a first
+ * segment that was lost, as to a host that was still down: a new attempt reaches a host that is back sooner.
+ */
+static constexpr duration connectTimeout{250};
 
 /** Time after which bytes that the peer's host does not confirm end a connection; a dead host is silent. */
 static constexpr int unconfirmedTimeoutMs = 1'500;
--- a/tests/control/replicated_log_test.cpp
+++ b/tests/control/replicated_log_test.cpp
@@ -215,6 +215,34 @@
     }
 }
 
+static bool asksForVotes(const std::vector<replicated_log_output> &outputs)
+{
+    return std::any_of(outputs.begin(), outputs.end(), [](const replicated_log_output &each) {
+        const auto *sent = std::get_if<send_log_message>(&each);
+        return sent != nullptr && std::holds_alternative<vote_request>(sent->message);
+    });
+}
+
+// After all replicas had restarted, a pre-vote that came before the others voted again was repeated only after another election timeout or two.
+TEST(ReplicatedLog, RepeatsAPreVoteSoonerThanAnElection)
+{
+    const time_point start(std::chrono::hours(1));
+    replicated_log log = startReplica(start);
+    time_point askedAt;
+    for (duration after{1}; after <= duration(1'000); ++after) {
+        if (asksForVotes(log.step(log_tick{}, start + after))) {
+            askedAt = start + after;
+            break;
+        }
+    }
+    ASSERT_NE(askedAt, time_point());
+    bool repeated = false;
+    for (duration after{1}; !repeated && after <= duration(250); ++after) {
+        repeated = asksForVotes(log.step(log_tick{}, askedAt + after));
+    }
+    EXPECT_TRUE(repeated);
+}
+
 TEST(ReplicatedLog, LeaderStepsDownWithoutRepliesFromAQuorum)
 {
     time_point now(std::chrono::hours(1));
