HTTP servers listen on port 0 where the system is to choose

parseListeningEndpoint takes port 0; parseEndpoint is the same without it, so settings and announcements with port 0 are refused as before.

Before: HttpServer.ServesRequestsOnOneConnectionOneAfterTheOther failed at failed(created) and ended with a segmentation fault.

--- a/src/ends/frame_link.cpp
+++ b/src/ends/frame_link.cpp
@@ -1,12 +1,12 @@
 #include "ends/frame_link.h"
 
 #include "codec/frame_codec.h"
+#include "ends/listening_endpoint.h"
 
 #include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
-#include <charconv>
 #include <netinet/tcp.h>
 
 namespace carawayloft {
@@ -22,19 +22,11 @@
 
 result<asio::ip::tcp::endpoint> parseEndpoint(const endpoint &address)
 {
-    const std::string &text = address.value();
-    const std::size_t colon = text.rfind(':');
-    std::uint16_t port = 0;
-    std::error_code failure;
-    if (colon != std::string::npos) {
-        const auto ip = asio::ip::make_address(text.substr(0, colon), failure);
-        const char *end = text.data() + text.size();
-        const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-        if (!failure && parsed.ec == std::errc() && parsed.ptr == end && port != 0) {
-            return asio::ip::tcp::endpoint(ip, port);
-        }
+    auto parsed = parseListeningEndpoint(address);
+    if (!failed(parsed) && valueOf(parsed).port() == 0) {
+        return error{error_kind::InvalidSettings, "'" + address.value() + "' is no address", "write it as IP:port, for example 127.0.0.1:7000"};
     }
-    return error{error_kind::InvalidSettings, "'" + text + "' is no address", "write it as IP:port, for example 127.0.0.1:7000"};
+    return parsed;
 }
 
 frame_link::frame_link(asio::ip::tcp::socket socket, hello own, link_handler handle)
--- a/src/ends/http_server.cpp
+++ b/src/ends/http_server.cpp
@@ -1,7 +1,7 @@
 #include "ends/http_server.h"
 
-#include "ends/frame_link.h"
 #include "ends/http_port.h"
+#include "ends/listening_endpoint.h"
 
 namespace carawayloft {
 
@@ -170,7 +170,7 @@
 result<std::unique_ptr<http_server>>
 http_server::create(asio::io_context &context, const endpoint &at, const http_limits &limits, handler handle, rejection_handler onRejected)
 {
-    const auto address = parseEndpoint(at);
+    const auto address = parseListeningEndpoint(at);
     if (failed(address)) {
         return errorOf(address);
     }
