Gateways bound the bytes outstanding at one backend server

A server crashes if the requests that it holds exceed its memory, and nothing bounded them: callers within every limit could send a server of 128 MB as many bodies of 4 MiB as the gateways hold.

backend_byte_limiter (pure) gives each gateway an equal part of a bound for each server, by the number of gateways in the last grant. A part is never less than one request of the largest size and a pool of 256 KiB for small ones; up to 14 gateways the parts add up to the bound. Small requests do not take the room for a large one. The head of a group and a plain server are passed over where the part is used up; a request that finds none waits and is then rejected as not run, as before. The bound is half of the memory of the server's machine (limits.backendMemoryMb, 128).

--- a/include/carawayloft/gateway/gateway_messages.h
+++ b/include/carawayloft/gateway/gateway_messages.h
@@ -27,6 +27,7 @@
     token_count expectedAnswerTokens = 0; /**< Estimate of the caller; zero if not stated. */
     std::optional<stream_event_id> resumeAfter; /**< Last event that the caller received in an earlier attempt. */
     std::vector<request_trait> traits; /**< The whole request, then the parts of its prompt that other requests may share. */
+    std::size_t bytes = 0; /**< Of the whole request, as it is sent to a server. */
 };
 
 /** A backend server has sent the head of its answer. */
--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -4,6 +4,7 @@
 #include <carawayloft/core/answer_limits.h>
 #include <carawayloft/fleet/backend_view.h>
 #include <carawayloft/gateway/admission_control.h>
+#include <carawayloft/gateway/backend_byte_limiter.h>
 #include <carawayloft/gateway/backend_notices.h>
 #include <carawayloft/gateway/class_meter.h>
 #include <carawayloft/gateway/crash_witness.h>
@@ -27,6 +28,7 @@
     fleet_limits limits;
     std::uint64_t seed = 1;
     std::size_t maxKeptAnswers = maxKeptAnswerBytes; /**< Bytes of all answers that are kept until they are whole. */
+    backend_byte_limits backendBytes{}; /**< Of requests at one backend server, over all gateways. */
 };
 
 /**
@@ -58,6 +60,10 @@
     {
         return m_view;
     }
+    const backend_byte_limiter &byteLimiter() const
+    {
+        return m_byteLimiter;
+    }
 
 private:
     /** Time for which a server or group is avoided after a connection failure or a rejection without running the request. */
@@ -233,6 +239,7 @@
     backend_view m_view;
     route_table m_routes;
     fleet_limiter m_limiter;
+    backend_byte_limiter m_byteLimiter;
     traffic_meter m_trafficMeter;
     class_meter m_classMeter;
     group_peak_rates m_peakRates;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -77,6 +77,7 @@
 /** What bounds the memory that callers can take. */
 struct http_settings {
     std::size_t memoryBytes = std::size_t{160} << 20U; /**< Of the machine; the default is the smallest that gateways run on. */
+    std::size_t backendMemoryBytes = std::size_t{128} << 20U; /**< Of a backend server's machine; the default is the smallest that they run on. */
     duration maxBodyPause{16'000}; /**< Longest pause in a request's body: the 15 s that callers may be idle, and a margin. */
 };
 
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -28,6 +28,7 @@
     : m_options(options)
     , m_random(options.seed)
     , m_limiter(options.limits, options.seed)
+    , m_byteLimiter(options.backendBytes)
     , m_admission(options.seed)
     , m_retrySchedule(options.seed)
 {
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -137,7 +137,8 @@
 {
     std::sort(candidates.begin(), candidates.end(), [](const candidate &left, const candidate &right) { return left.cost < right.cost; });
     for (const candidate &target : candidates) {
-        if (m_limiter.maySend(target.backend->record.backend, sendLimitsOf(context, target), m_now)) {
+        const backend_id &backend = target.backend->record.backend;
+        if (m_byteLimiter.maySend(backend, context.request.bytes) && m_limiter.maySend(backend, sendLimitsOf(context, target), m_now)) {
             return target;
         }
     }
@@ -151,6 +152,7 @@
     context.backend = target.backend->record.backend;
     context.backendStartedAt = target.backend->record.startedAt;
     m_limiter.recordSend(context.backend, m_now);
+    m_byteLimiter.recordSend(context.call, context.backend, context.request.bytes);
     if (context.sendCount > 0) {
         m_limiter.recordRetry(context.service->service, m_now);
     }
@@ -211,6 +213,7 @@
     } else if (const auto server = m_serverStats.find(context.backend); server != m_serverStats.end() && server->second.running > 0) {
         --server->second.running;
     }
+    m_byteLimiter.recordEnd(context.call);
     m_calls.erase(context.call);
     context.call = {};
     context.window.restart();
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -226,6 +226,7 @@
     }
     m_reportedAt.erase(m_reportedAt.begin(), std::next(reported));
     m_limiter.setGateways(grant.gateways, m_now);
+    m_byteLimiter.setGateways(grant.gateways);
     m_peakRates.setTraffic(grant.modelTraffic);
     m_peakRates.setCapacities(grant.capacities);
     m_admission.step(demand_granted{grant.modelTraffic, grant.classDemand, grant.gateways}, m_now);
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -33,9 +33,29 @@
 static constexpr std::size_t callerMemoryDivisor = 2;
 static constexpr std::size_t keptAnswersDivisor = 5;
 
+/** Part of a backend server's memory for the requests that it holds; the rest is for its process and its own copies of them. */
+static constexpr std::size_t backendMemoryDivisor = 2;
+
 /** Retry-After of requests that are rejected while the process drains. */
 static constexpr duration stopRetryAfter{100};
 
+static gateway_pipe_options pipeOptions(const settings &loaded)
+{
+    gateway_pipe_options options{loaded.zone, loaded.gateway->limits, std::random_device()(), loaded.http.memoryBytes / keptAnswersDivisor, {}};
+    options.backendBytes.bound = loaded.http.backendMemoryBytes / backendMemoryDivisor;
+    return options;
+}
+
+/** Bytes that a server gets of the request, but for headers that the gateway adds. */
+static std::size_t bytesOf(const http_request &request)
+{
+    std::size_t bytes = request.body.size() + request.path.size() + request.query.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
 result<std::unique_ptr<gateway_task>>
 gateway_task::create(asio::io_context &context, const settings &loaded, const front_end &frontEnd, std::function<void()> onStopped)
 {
@@ -52,7 +72,7 @@
     , m_frontEnd(frontEnd)
     , m_onStopped(std::move(onStopped))
     , m_timers(context)
-    , m_pipe({loaded.zone, loaded.gateway->limits, std::random_device()(), loaded.http.memoryBytes / keptAnswersDivisor})
+    , m_pipe(pipeOptions(loaded))
     , m_client(http_client::create(context))
     , m_control(
           context,
@@ -179,6 +199,7 @@
     }
     gateway_request &call = valueOf(decoded);
     call.request = id;
+    call.bytes = bytesOf(request);
     exchange->setClosing(m_stopping);
     exchange->onHangUp([this, id] {
         if (m_requests.contains(id)) {
@@ -367,6 +388,8 @@
 {
     m_metrics.setGauge("carawayloft_http_connections", {}, static_cast<double>(m_callerServer->connections()));
     m_metrics.setGauge("carawayloft_http_held_bytes", {}, static_cast<double>(m_callerServer->heldBytes()));
+    m_metrics.setGauge("carawayloft_backend_bytes_share", {}, static_cast<double>(m_pipe.byteLimiter().share()));
+    m_metrics.setGauge("carawayloft_backend_bytes_most", {}, static_cast<double>(m_pipe.byteLimiter().mostOutstanding()));
     m_metrics.setGauge("carawayloft_requests_in_flight", {}, static_cast<double>(m_pipe.inFlight()));
     m_metrics.setGauge("carawayloft_revision", {}, static_cast<double>(m_pipe.fleet().at().value()));
     m_metrics.setGauge("carawayloft_groups_known", {}, static_cast<double>(m_pipe.view().groups().size()));
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -1132,3 +1132,61 @@
     }
     EXPECT_NEAR(static_cast<double>(refused), 10.0, 1.0);
 }
+
+// A server of 128 MB was sent every body that callers had, and ended.
+TEST_F(GatewayPipe, BytesOutstandingAtAServerStayWithinThisGatewaysShare)
+{
+    static constexpr std::size_t bodyBytes = std::size_t{4} << 20U;
+    static constexpr std::uint32_t gateways = 15;
+    advance(duration(300)); // A grant answers a report that has not been answered.
+    tick();
+    grant(gateways);
+    const auto send = [&](std::uint64_t id, const std::string &path) {
+        gateway_request request = makeRequest(id, path);
+        request.bytes = bodyBytes;
+        step(request);
+        return outputsOf<call_backend>();
+    };
+    const auto first = send(1, "/records/x");
+    const auto second = send(2, "/records/x");
+    ASSERT_EQ(first.size(), 1U);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(first.front().backend, second.front().backend);
+    EXPECT_TRUE(send(3, "/records/x").empty());
+    answer(first.front(), 200, false);
+    EXPECT_TRUE(outputsOf<call_backend>().empty()) << "the answer has not ended";
+    step(backend_answer_finished{first.front().call});
+    tick();
+    ASSERT_EQ(outputsOf<call_backend>().size(), 1U);
+    EXPECT_EQ(outputsOf<call_backend>().front().request, request_id(3));
+    EXPECT_EQ(outputsOf<call_backend>().front().backend, first.front().backend);
+
+    ASSERT_EQ(send(4, "/draft/x").size(), 1U);
+    ASSERT_EQ(send(5, "/draft/x").size(), 1U);
+    EXPECT_TRUE(send(6, "/draft/x").empty()) << "both heads have a body of the largest size";
+}
+
+// A request that finds no server with room must not count as one that may have run.
+TEST_F(GatewayPipe, ARequestThatFindsNoServerWithRoomIsRejectedAsNotRun)
+{
+    static constexpr std::size_t bodyBytes = std::size_t{4} << 20U;
+    advance(duration(300)); // A grant answers a report that has not been answered.
+    tick();
+    grant(390);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        gateway_request request = makeRequest(id, "/records/x");
+        request.bytes = bodyBytes;
+        step(request);
+    }
+    std::vector<reject_request> rejected;
+    for (int i = 0; i < 300 && rejected.empty(); ++i) {
+        advance(duration(20));
+        tick();
+        rejected = outputsOf<reject_request>();
+    }
+    ASSERT_FALSE(rejected.empty());
+    EXPECT_EQ(rejected.front().request, request_id(3));
+    EXPECT_EQ(rejected.front().status, 503U);
+    EXPECT_EQ(rejected.front().outcome, run_outcome::DidNotRun);
+    EXPECT_GT(rejected.front().retryAfter, duration(0));
+}
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -45,10 +45,18 @@
     const auto standard = platform::readSettings(makeGatewaySettings());
     EXPECT_EQ(valueOf(standard).http.memoryBytes, std::size_t{160} << 20U);
     EXPECT_EQ(valueOf(standard).http.maxBodyPause, duration(16'000));
-    const auto own = platform::readSettings(makeGatewaySettings() + "limits.memoryMb=400\nlimits.bodyPauseS=2.5\n");
+    EXPECT_EQ(valueOf(standard).http.backendMemoryBytes, std::size_t{128} << 20U);
+    const auto own = platform::readSettings(makeGatewaySettings() + "limits.memoryMb=400\nlimits.bodyPauseS=2.5\nlimits.backendMemoryMb=256\n");
+    EXPECT_EQ(valueOf(own).http.backendMemoryBytes, std::size_t{256} << 20U);
     EXPECT_EQ(valueOf(own).http.memoryBytes, std::size_t{400} << 20U);
     EXPECT_EQ(valueOf(own).http.maxBodyPause, duration(2'500));
-    for (const char *wrong : {"limits.memoryMb=0", "limits.memoryMb=-1", "limits.memoryMb=many", "limits.memoryMb=419430400", "limits.bodyPauseS=1e9"}) {
+    for (const char *wrong : {"limits.memoryMb=0",
+                              "limits.memoryMb=-1",
+                              "limits.memoryMb=many",
+                              "limits.memoryMb=419430400",
+                              "limits.backendMemoryMb=0",
+                              "limits.backendMemoryMb=419430400",
+                              "limits.bodyPauseS=1e9"}) {
         const auto loaded = platform::readSettings(makeGatewaySettings() + wrong + "\n");
         ASSERT_TRUE(failed(loaded)) << wrong;
         EXPECT_NE(errorOf(loaded).what.find("limits."), std::string::npos) << errorOf(loaded).what;
--- a/tests/process/endless_server.cpp
+++ b/tests/process/endless_server.cpp
@@ -1,14 +1,13 @@
 #include "process/endless_server.h"
 
 #include "ends/frame_link.h"
-#include "process/http_call.h"
+#include "process/backend_announcement.h"
 
 #include <carawayloft/core/result.h>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
-#include <nlohmann/json.hpp>
 
 namespace carawayloft::test_support {
 
@@ -71,7 +70,7 @@
     });
     m_announcing = std::jthread([this](const std::stop_token &stop) {
         while (!stop.stop_requested()) {
-            announce();
+            announce(m_options.control, {m_options.service + "-endless", m_options.service, m_options.address, ++m_announcements});
             std::this_thread::sleep_for(announcementPeriod);
         }
     });
@@ -112,21 +111,4 @@
     });
 }
 
-void endless_server::announce()
-{
-    http_question question;
-    question.method = "PUT";
-    question.url = "http://" + m_options.control + "/-/instances/" + m_options.service + "-endless";
-    question.body = nlohmann::json{{"service", m_options.service},
-                                   {"address", m_options.address},
-                                   {"zone", "z-1"},
-                                   {"domain", "d-1"},
-                                   {"state", "ready"},
-                                   {"sequence", ++m_announcements},
-                                   {"born", 1'700'000'000'000}}
-                        .dump();
-    question.timeoutMs = 1'000;
-    ask(question);
-}
-
 } // namespace carawayloft::test_support
--- a/tests/process/endless_server.h
+++ b/tests/process/endless_server.h
@@ -58,7 +58,6 @@
 
     void accept();
     void send(const std::shared_ptr<connection> &one, std::string bytes);
-    void announce();
 
     options m_options;
     asio::io_context m_context{1};
--- a/tests/process/excessive_callers.cpp
+++ b/tests/process/excessive_callers.cpp
@@ -60,6 +60,11 @@
         m_block = std::string(blockBytes, 'x');
         m_blocks = endlessBytes / blockBytes;
         break;
+    case excessive_body::WholeLength:
+        m_head = head + "Content-Length: " + std::to_string(bodyLimit) + "\r\n\r\n";
+        m_block = std::string(blockBytes, 'x');
+        m_blocks = bodyLimit / blockBytes;
+        break;
     }
     for (std::size_t i = 0; i < count; ++i) {
         m_callers.push_back(std::make_unique<caller>(m_context));
--- a/tests/process/excessive_callers.h
+++ b/tests/process/excessive_callers.h
@@ -19,6 +19,7 @@
     EndlessChunks,
     HugeLengthAnnounced, /**< 10 GB, of which 16 KiB come. */
     HugeLengthSent, /**< 10 GB announced, sent for as long as the server takes them. */
+    WholeLength, /**< 4 MiB announced and sent; within the limits of one request. */
 };
 
 /** Callers on connections of their own that all send the same form at once, keep their connections open and read nothing meanwhile. */
