Memory of a large body's blocks goes back to the system at its end

The budget charged 32 MiB. A body comes in blocks of 32 KiB and is then copied into one piece; the allocator kept the freed blocks, and a body in one piece does not fit between blocks of others, so both counted.

Smaller bodies are not affected.

PlatformExcessiveCallers has the form WholeLength; its bounds and the number of callers are as they were. It failed before and passes after.

--- a/src/ends/request_body.cpp
+++ b/src/ends/request_body.cpp
@@ -1,9 +1,16 @@
 #include "ends/request_body.h"
 
 #include <algorithm>
+#include <malloc.h>
 
 namespace carawayloft {
 
+/**
+ * Size from which the memory of a body's blocks is given back to the system once the body is whole. The allocator keeps
+ * freed blocks, and a body in one piece does not fit between blocks of others, so both would count.
+ */
+static constexpr std::size_t largeBodyBytes = std::size_t{1} << 20U;
+
 static constexpr std::size_t blockBytes = std::size_t{32} << 10U;
 
 void request_body::append(std::string_view bytes)
@@ -31,6 +38,7 @@
 
 std::string request_body::take()
 {
+    const bool isLarge = m_size >= largeBodyBytes;
     std::string whole;
     if (m_blocks.size() == 1) {
         whole = std::move(m_blocks.front());
@@ -43,6 +51,9 @@
     }
     m_blocks.clear();
     m_size = 0;
+    if (isLarge) {
+        malloc_trim(0);
+    }
     return whole;
 }
 
--- a/tests/process/excessive_callers_test.cpp
+++ b/tests/process/excessive_callers_test.cpp
@@ -104,4 +104,5 @@
                                            excessive_body::UnfinishedLength,
                                            excessive_body::EndlessChunks,
                                            excessive_body::HugeLengthAnnounced,
-                                           excessive_body::HugeLengthSent));
+                                           excessive_body::HugeLengthSent,
+                                           excessive_body::WholeLength));
