A limit on connections for each client address, off by default

One client address could take all connections of a port, each in the middle of a request. Where callers do not share addresses, operators want a limit.

address_limit (no socket) counts connections by address. A new one beyond the limit takes the place of the address's oldest idle one, as where the port is full; without an idle one it is closed. http_rejection has the reason too_many_connections, carawayloft_http_rejections_total counts it, and event 118 (http_connection_limit_reached) is logged, at most five a second. Settings: limits.connectionsPerAddress and, for an entry, entry.max_connections_per_address; 0, the default, is no limit.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -31,6 +31,8 @@
         return {"byte_budget_exhausted", severity::Warning};
     case event_number::UntakenAnswerCut:
         return {"untaken_answer_cut", severity::Warning};
+    case event_number::HttpConnectionLimitReached:
+        return {"http_connection_limit_reached", severity::Info};
     case event_number::RequestRejected:
         return {"request_rejected", severity::Info};
     case event_number::RouteChosen:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -20,6 +20,7 @@
     HttpRequestTooSlow = 115,
     ByteBudgetExhausted = 116,
     UntakenAnswerCut = 117,
+    HttpConnectionLimitReached = 118,
     RequestRejected = 200,
     RouteChosen = 201,
     RouteNone = 202,
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -23,6 +23,13 @@
         {"entry", "max_body_bytes", "number", "4194304", 1'024, 1 << 30, "Longest request body, in bytes."},
         {"entry", "default_timeout_ms", "number", "120000", 100, 86'400'000, "Time limit of a request that states none, in milliseconds."},
         {"entry", "stop_bound_s", "number", "600", 1, 86'400, "Longest planned stop, in seconds; what is still in flight then is reported and cut."},
+        {"entry",
+         "max_connections_per_address",
+         "number",
+         "0",
+         0,
+         1'000'000,
+         "Most connections of one client address at once; 0 for no limit, since callers may share an address."},
         {"agent", "host", "text", "", 0, 0, "Host that the agent runs on; unique."},
         {"agent", "fabric_domain", "text", "", 0, 0, "Fabric domain of the host."},
         {"agent", "frames", "address", "", 0, 0, "Where entries and other agents reach this agent."},
@@ -259,7 +266,8 @@
     return {in.address("entry", "http"),
             static_cast<std::size_t>(in.number("entry", "max_body_bytes")),
             milliseconds(in, "entry", "default_timeout_ms"),
-            seconds(in, "entry", "stop_bound_s")};
+            seconds(in, "entry", "stop_bound_s"),
+            static_cast<std::size_t>(in.number("entry", "max_connections_per_address"))};
 }
 
 static agent_settings readAgent(settings_reader &in)
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -28,6 +28,7 @@
     std::size_t maxBodyBytes = 0;
     duration defaultTimeLimit{0};
     duration stopTimeout{0};
+    std::size_t maxConnectionsPerAddress = 0; /**< Zero for no limit. */
 };
 
 struct agent_settings {
@@ -78,6 +79,7 @@
 struct http_settings {
     std::size_t memoryBytes = std::size_t{160} << 20U; /**< Of the machine; the default is the smallest that gateways run on. */
     std::size_t backendMemoryBytes = std::size_t{128} << 20U; /**< Of a backend server's machine; the default is the smallest that they run on. */
+    std::size_t maxConnectionsPerAddress = 0; /**< Of one client address at once; zero for no limit. */
     duration maxBodyPause{16'000}; /**< Longest pause in a request's body: the 15 s that callers may be idle, and a margin. */
 };
 
--- a/src/ends/http_connection.h
+++ b/src/ends/http_connection.h
@@ -51,6 +51,11 @@
     /** Closes without telling the one who answers. */
     void close();
 
+    const asio::ip::tcp::endpoint &peer() const
+    {
+        return m_peer;
+    }
+
     /** Whether nothing is lost to the caller if the connection is closed. */
     bool isIdle() const
     {
--- a/src/ends/http_limits.h
+++ b/src/ends/http_limits.h
@@ -15,6 +15,7 @@
     std::size_t maxHeaders = 100;
     std::size_t maxBodyBytes = std::size_t{4} << 20U;
     std::size_t maxHeldBytes = std::size_t{80} << 20U; /**< Of requests and untaken answers of all connections. */
+    std::size_t maxConnectionsPerAddress = 0; /**< Of one client address at once; zero for no limit, since callers may share an address. */
     duration maxHeaderTime{5'000}; /**< From a request's first byte to the end of its headers: the 3 s that callers have, and a margin. */
     duration maxBodyPause{16'000}; /**< Between bytes of a body: the 15 s that callers may be idle, and a margin. */
     duration maxRequestTime{60'000}; /**< For a whole request. */
--- a/src/ends/http_port.cpp
+++ b/src/ends/http_port.cpp
@@ -52,6 +52,8 @@
         return event_number::ByteBudgetExhausted;
     case http_rejection::AnswerUntaken:
         return event_number::UntakenAnswerCut;
+    case http_rejection::TooManyConnections:
+        return event_number::HttpConnectionLimitReached;
     case http_rejection::Malformed:
     case http_rejection::Incomplete:
         break;
@@ -70,6 +72,7 @@
     , m_checkTimer(context)
     , m_closeTimer(context)
     , m_budget(limits.maxHeldBytes)
+    , m_addresses(limits.maxConnectionsPerAddress)
 {
 }
 
@@ -105,20 +108,31 @@
 
 void http_port::add(asio::ip::tcp::socket socket)
 {
-    if (m_connections.size() >= m_maxConnections && !closeIdleConnection()) {
-        return; // Closes the new one: every other is in the middle of a request.
-    }
     m_lastHolder = next(m_lastHolder);
     const auto connection = std::make_shared<http_connection>(shared_from_this(), m_lastHolder, std::move(socket));
+    if (!makeRoomFor(*connection)) {
+        return; // Closes the new one: every other is in the middle of a request.
+    }
     m_connections.emplace(m_lastHolder, connection);
+    m_addresses.add(connection->peer().address());
     connection->start();
     awaitTimeCheck();
 }
 
-bool http_port::closeIdleConnection()
+bool http_port::makeRoomFor(const http_connection &connection)
+{
+    const asio::ip::address address = connection.peer().address();
+    if (!m_addresses.mayAdd(address) && !closeIdleConnection(address)) {
+        reportRejection(http_rejection::TooManyConnections, connection.peer(), "the client address has as many connections as it may", 0);
+        return false;
+    }
+    return m_connections.size() < m_maxConnections || closeIdleConnection();
+}
+
+bool http_port::closeIdleConnection(const std::optional<asio::ip::address> &address)
 {
     for (const auto &[id, connection] : m_connections) {
-        if (connection->isIdle()) {
+        if (connection->isIdle() && (!address || connection->peer().address() == *address)) {
             const std::shared_ptr<http_connection> oldest = connection;
             oldest->close();
             return true;
@@ -177,7 +191,10 @@
 void http_port::remove(byte_holder_id holder)
 {
     m_budget.update(holder, {});
-    m_connections.erase(holder);
+    if (const auto found = m_connections.find(holder); found != m_connections.end()) {
+        m_addresses.remove(found->second->peer().address());
+        m_connections.erase(found);
+    }
 }
 
 void http_port::reportRejection(http_rejection why, const asio::ip::tcp::endpoint &peer, const std::string &reason, std::size_t bodyBytes)
--- a/src/ends/http_port.h
+++ b/src/ends/http_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ends/address_limit.h"
 #include "ends/event_quota.h"
 #include "ends/http_connection.h"
 #include "ends/http_limits.h"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -73,8 +75,11 @@
     void accept();
     void add(asio::ip::tcp::socket socket);
 
-    /** Closes the oldest idle connection; false if there is none. */
-    bool closeIdleConnection();
+    /** Closes the oldest idle connection, of @p address if given; false if there is none. */
+    bool closeIdleConnection(const std::optional<asio::ip::address> &address = std::nullopt);
+
+    /** Whether the limits leave room for @p connection, after an idle one was closed if need be. */
+    bool makeRoomFor(const http_connection &connection);
 
     void awaitTimeCheck();
     void ignoreNewConnections();
@@ -93,6 +98,7 @@
     std::chrono::steady_clock::time_point m_closeBy;
     byte_holder_id m_lastHolder;
     byte_budget m_budget;
+    address_limit m_addresses;
     std::map<byte_holder_id, std::shared_ptr<http_connection>> m_connections;
     std::map<http_rejection, event_quota> m_eventQuotas;
     std::array<char, std::size_t{64} << 10U> m_readBuffer{};
--- a/src/tasks/control_task_start.cpp
+++ b/src/tasks/control_task_start.cpp
@@ -114,6 +114,7 @@
     http_limits limits;
     limits.maxHeldBytes = m_settings.http.memoryBytes / callerMemoryDivisor;
     limits.maxBodyPause = m_settings.http.maxBodyPause;
+    limits.maxConnectionsPerAddress = m_settings.http.maxConnectionsPerAddress;
     auto http = http_server::create(
         m_context,
         own.http,
--- a/src/tasks/entry_task.cpp
+++ b/src/tasks/entry_task.cpp
@@ -32,6 +32,7 @@
     http_limits limits;
     limits.maxBodyBytes = loaded.entry->maxBodyBytes;
     limits.maxHeldBytes = std::max(limits.maxHeldBytes, heldBodies * limits.maxBodyBytes);
+    limits.maxConnectionsPerAddress = loaded.entry->maxConnectionsPerAddress;
     entry_task *self = task.get();
     auto http = http_server::create(context, loaded.entry->http, limits, [self](http_request request, std::shared_ptr<http_exchange> exchange) {
         self->serve(std::move(request), std::move(exchange));
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -94,6 +94,7 @@
     http_limits limits;
     limits.maxHeldBytes = m_settings.http.memoryBytes / callerMemoryDivisor;
     limits.maxBodyPause = m_settings.http.maxBodyPause;
+    limits.maxConnectionsPerAddress = m_settings.http.maxConnectionsPerAddress;
     auto callers = http_server::create(
         m_context,
         own.callers,
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -40,6 +40,10 @@
     ASSERT_FALSE(failed(loaded)) << describe(errorOf(loaded));
     EXPECT_EQ(valueOf(loaded).entry->defaultTimeLimit, duration(120'000));
     EXPECT_FALSE(valueOf(loaded).agent);
+    EXPECT_EQ(valueOf(loaded).entry->maxConnectionsPerAddress, 0U);
+    const auto limited = load(valid + "max_connections_per_address = 50\n");
+    ASSERT_FALSE(failed(limited)) << describe(errorOf(limited));
+    EXPECT_EQ(valueOf(limited).entry->maxConnectionsPerAddress, 50U);
 }
 
 TEST(Settings, AnErrorNamesFileLineKeyAndRemedy)
@@ -54,6 +58,7 @@
         {replaced(valid, "http = \"127.0.0.1:8080\"", "http = 8080"), ":10:", "entry.http"},
         {replaced(valid, "http = \"127.0.0.1:8080\"", "http = \"localhost\""), ":10:", "entry.http"},
         {valid + "stop_bound_s = 0\n", ":11:", "entry.stop_bound_s"},
+        {valid + "max_connections_per_address = -1\n", ":11:", "entry.max_connections_per_address"},
         {valid + "\n[entrie]\n", ":12:", "entrie"},
         {replaced(valid, "roles = [\"entry\"]", "roles = [\"entri\"]"), ":4:", "process.roles"},
         {replaced(valid, "name = \"entry-1\"\n", ""), ":1:", "process.name"},
--- a/tests/ends/http_server_test.cpp
+++ b/tests/ends/http_server_test.cpp
@@ -221,3 +221,45 @@
     EXPECT_EQ(m_server->connections(), 0U);
     EXPECT_EQ(m_server->heldBytes(), 0U);
 }
+
+// One client held every connection of a port, each with a request that was being served.
+TEST_F(HttpServer, AnAddressHasNoMoreConnectionsThanTheLimit)
+{
+    http_limits limits;
+    limits.maxConnectionsPerAddress = 2;
+    serve(limits);
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t i = 0; i < 2; ++i) {
+        sockets.push_back(connect());
+        send(sockets.back(), "GET / HTTP/1.1\r\n\r\n");
+        ASSERT_TRUE(runUntil([&] { return m_requests.size() == i + 1; }));
+    }
+    auto refused = connect();
+    ASSERT_TRUE(runUntil([&] { return m_rejections.size() == 1; }));
+    EXPECT_EQ(m_rejections.front(), http_rejection::TooManyConnections);
+    EXPECT_EQ(readUntil(refused, "nothing"), "");
+    EXPECT_EQ(m_server->connections(), 2U);
+
+    m_exchanges[0]->respond({200, {}, "done"});
+    EXPECT_TRUE(readUntil(sockets[0], "done").starts_with("HTTP/1.1 200 OK\r\n"));
+    auto next = connect();
+    send(next, "GET /next HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return m_requests.size() == 3; })) << "the idle connection gives way";
+    EXPECT_EQ(m_server->connections(), 2U);
+}
+
+// An address whose connections had ended was still counted.
+TEST_F(HttpServer, ConnectionsThatEndedDoNotCountForTheirAddress)
+{
+    http_limits limits;
+    limits.maxConnectionsPerAddress = 1;
+    serve(limits);
+    for (std::size_t i = 0; i < 5; ++i) {
+        auto socket = connect();
+        send(socket, "GET / HTTP/1.1\r\n\r\n");
+        ASSERT_TRUE(runUntil([&] { return m_requests.size() == i + 1; }));
+        socket.close();
+        ASSERT_TRUE(runUntil([&] { return m_server->connections() == 0; }));
+    }
+    EXPECT_TRUE(m_rejections.empty());
+}
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -39,6 +39,19 @@
     EXPECT_EQ(parsedSettings.control[1].http, endpoint("10.2.0.30:8229"));
 }
 
+// Callers may share an address, so only a configuration that asks for a limit has one.
+TEST(SettingsFile, LimitsConnectionsOfAnAddressOnlyWhereAsked)
+{
+    EXPECT_EQ(valueOf(platform::readSettings(makeGatewaySettings())).http.maxConnectionsPerAddress, 0U);
+    EXPECT_EQ(valueOf(platform::readSettings(makeGatewaySettings() + "limits.connectionsPerAddress=50\n")).http.maxConnectionsPerAddress, 50U);
+    for (const char *wrong :
+         {"limits.connectionsPerAddress=-1", "limits.connectionsPerAddress=all", "limits.connectionsPerAddress=0.5", "limits.connectionsPerAddress=1e9"}) {
+        const auto loaded = platform::readSettings(makeGatewaySettings() + wrong + "\n");
+        ASSERT_TRUE(failed(loaded)) << wrong;
+        EXPECT_NE(errorOf(loaded).what.find("limits.connectionsPerAddress"), std::string::npos) << errorOf(loaded).what;
+    }
+}
+
 // A limit that was misread as bytes or was negative would reject every caller, or none.
 TEST(SettingsFile, ReadsTheMemoryThatCallersMayTakeAndRefusesSenselessValues)
 {
--- a/tests/process/caller_limits_test.cpp
+++ b/tests/process/caller_limits_test.cpp
@@ -18,6 +18,8 @@
 /** Memory of the server's machine in the settings. */
 constexpr std::size_t serverMemoryMb = 32;
 
+constexpr std::size_t connectionsOfAnAddress = 5;
+
 /** One control replica, and one gateway with the limits of this test's settings. */
 class PlatformCallerLimits : public platform_processes
 {
@@ -75,3 +77,17 @@
     EXPECT_LT(m_front->peakMemory(), gatewayMemoryMb << 20U);
     EXPECT_EQ(askGateway(), ordinary);
 }
+
+// One address took every connection of a gateway.
+TEST_F(PlatformCallerLimits, AnAddressWithItsConnectionsInUseLeavesTheOthersTheirs)
+{
+    startWith("limits.connectionsPerAddress=" + std::to_string(connectionsOfAnAddress) + "\n");
+    const int ordinary = askGateway();
+    EXPECT_GT(ordinary, 0);
+    const std::size_t descriptors = m_front->openDescriptors();
+    excessive_callers crowd(callers, net() + "2:8227", head(), excessive_body::UnfinishedLength, net() + "77");
+    crowd.send(sendLimit);
+    EXPECT_TRUE(m_front->isAlive());
+    EXPECT_LE(m_front->openDescriptors(), descriptors + connectionsOfAnAddress + 1); // One more for the connection of an ordinary caller.
+    EXPECT_EQ(askGateway(), ordinary);
+}
--- a/tests/process/excessive_callers.cpp
+++ b/tests/process/excessive_callers.cpp
@@ -22,7 +22,7 @@
 static constexpr std::size_t smallChunks = 300'000;
 static constexpr std::size_t smallChunksOfABlock = 1'000;
 
-excessive_callers::excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form)
+excessive_callers::excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form, const std::string &source)
     : m_server(valueOf(parseEndpoint(endpoint(address))))
 {
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
@@ -68,6 +68,10 @@
     }
     for (std::size_t i = 0; i < count; ++i) {
         m_callers.push_back(std::make_unique<caller>(m_context));
+        if (!source.empty()) {
+            m_callers.back()->socket.open(asio::ip::tcp::v4());
+            m_callers.back()->socket.bind({asio::ip::make_address(source), 0});
+        }
         m_callers.back()->socket.connect(m_server);
         m_callers.back()->blocksLeft = m_blocks;
     }
--- a/tests/process/excessive_callers.h
+++ b/tests/process/excessive_callers.h
@@ -26,8 +26,11 @@
 class excessive_callers
 {
 public:
-    /** Connects @p count callers to @p address. @p head is a request's first line and headers without those of the body. */
-    excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form);
+    /**
+     * Connects @p count callers to @p address, from the address @p source unless it is empty. @p head is a request's first
+     * line and headers without those of the body.
+     */
+    excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form, const std::string &source = {});
     ~excessive_callers();
 
     excessive_callers(const excessive_callers &) = delete;
