--- a/src/ends/http_connection.cpp
+++ b/src/ends/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "ends/clock.h"
 #include "ends/http_port.h"
+#include "ends/http_response_head.h"
 
 #include <carawayloft/core/overloaded.h>
 
@@ -12,7 +13,6 @@
 
 #include <algorithm>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 namespace carawayloft {
@@ -32,50 +32,6 @@
 /** Retry-After of a request that did not fit into the budget: by then a body that makes no progress has been rejected in its place. */
 static constexpr const char *budgetRetryAfterSeconds = "1";
 
-static const char *reasonPhrase(std::uint32_t status)
-{
-    static const std::unordered_map<std::uint32_t, const char *> reasons{{200, "OK"},
-                                                                         {201, "Created"},
-                                                                         {202, "Accepted"},
-                                                                         {204, "No Content"},
-                                                                         {307, "Temporary Redirect"},
-                                                                         {400, "Bad Request"},
-                                                                         {401, "Unauthorized"},
-                                                                         {404, "Not Found"},
-                                                                         {408, "Request Timeout"},
-                                                                         {409, "Conflict"},
-                                                                         {413, "Payload Too Large"},
-                                                                         {414, "URI Too Long"},
-                                                                         {422, "Unprocessable Entity"},
-                                                                         {429, "Too Many Requests"},
-                                                                         {431, "Request Header Fields Too Large"},
-                                                                         {500, "Internal Server Error"},
-                                                                         {502, "Bad Gateway"},
-                                                                         {503, "Service Unavailable"},
-                                                                         {504, "Gateway Timeout"}};
-    const auto reason = reasons.find(status);
-    return reason == reasons.end() ? "Status" : reason->second;
-}
-
-/** First line and headers; @p framing is the line that says how the body is delimited, or empty. */
-static std::string encodeHead(const http_response &response, bool keepAlive, const std::string &framing)
-{
-    std::string out
-        = fmt::format("HTTP/1.1 {} {}\r\nConnection: {}\r\n{}", response.status, reasonPhrase(response.status), keepAlive ? "keep-alive" : "close", framing);
-    for (const auto &[name, value] : response.headers) {
-        out += fmt::format("{}: {}\r\n", name, value);
-    }
-    if (!response.headers.contains("Server")) {
-        out += "Server: carawayloft\r\n";
-    }
-    return out + "\r\n";
-}
-
-static bool hasNoBody(std::uint32_t status)
-{
-    return status == 204 || status == 304;
-}
-
 static std::size_t memoryOf(const http_request &request)
 {
     // The body once more, for the call to a server that it is copied into.
