Pipelined requests are answered though the caller's sending side is closed

A caller that sent several requests at once and then closed its sending side lost those that had not been handed over, and the one that was being served: the end of what it sent was taken for a hang-up.

On a connection on which requests were pipelined the end is now only noted. What was read goes on to be served, and nothing more is read; a reset ends the connection, so a caller that has gone is noticed by the first answer to it. A request that is not whole at the end is reported as incomplete. On other connections the end stays a hang-up. Ports read 16 KiB at a time, since up to 64 KiB behind a request were kept where 16 KiB are allowed.

--- a/src/ends/http_connection.cpp
+++ b/src/ends/http_connection.cpp
@@ -23,9 +23,6 @@
 /** Time for a caller to read the last answer of a connection. */
 static constexpr duration lingerTime{2'000};
 
-/** Bytes behind a request that is being served that are read, so that a caller's hang-up is noticed in time. */
-static constexpr std::size_t maxPipelinedBytes = std::size_t{16} << 10U;
-
 /** Memory of a header of a request beside its bytes. */
 static constexpr std::size_t fieldOverhead = 128;
 
@@ -79,7 +76,7 @@
 void http_connection::awaitBytes()
 {
     const bool isFull = m_phase == phase::Serving && m_pipelined.size() >= maxPipelinedBytes;
-    if (m_awaiting || isFull || m_phase == phase::Closed) {
+    if (m_awaiting || m_inputEnded || isFull || m_phase == phase::Closed) {
         return;
     }
     m_awaiting = true;
@@ -92,6 +89,16 @@
     });
 }
 
+/** Once the caller has sent all, a socket is readable for good; then only a reset still tells that the caller has gone. */
+void http_connection::awaitReset()
+{
+    m_socket.async_wait(asio::ip::tcp::socket::wait_error, [self = shared_from_this()](const std::error_code &) {
+        if (self->m_phase != phase::Closed) {
+            self->hangUp();
+        }
+    });
+}
+
 void http_connection::receive()
 {
     std::span<char> buffer = m_port->readBuffer();
@@ -110,7 +117,7 @@
     if (m_phase == phase::Receiving) {
         consume({buffer.data(), bytes});
     } else if (m_phase == phase::Serving) {
-        m_pipelined.append(buffer.data(), bytes);
+        keepPipelined({buffer.data(), bytes});
     }
     reportHeld();
     awaitBytes();
@@ -147,10 +154,16 @@
                    reading);
     }
     if (m_phase == phase::Serving) {
-        m_pipelined.append(bytes);
+        keepPipelined(bytes);
     }
 }
 
+void http_connection::keepPipelined(std::string_view bytes)
+{
+    m_pipelined.append(bytes);
+    m_hasPipelined = m_hasPipelined || (m_keepAlive && !bytes.empty());
+}
+
 void http_connection::deliver(http_request request)
 {
     m_requestHeld = memoryOf(request);
@@ -171,6 +184,11 @@
 
 void http_connection::handleEnd(bool closedInOrder)
 {
+    if (closedInOrder && m_phase == phase::Serving && m_hasPipelined) {
+        m_inputEnded = true; // The caller may have closed its sending side alone and still reads the answers.
+        awaitReset();
+        return;
+    }
     if (closedInOrder && !m_sending.empty() && (m_phase == phase::Lingering || m_answerComplete)) {
         m_keepAlive = false; // The caller has no more requests and may still read the answer.
         return;
@@ -325,6 +343,10 @@
     m_since = monotonicNow();
     const std::string pipelined = std::exchange(m_pipelined, {});
     consume(pipelined);
+    if (m_inputEnded && m_phase == phase::Receiving) {
+        handleEnd(true); // No whole request is left.
+        return;
+    }
     awaitBytes();
 }
 
@@ -335,6 +357,10 @@
     m_since = monotonicNow();
     std::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (m_inputEnded) {
+        close();
+        return;
+    }
     awaitBytes();
 }
 
--- a/src/ends/http_connection.h
+++ b/src/ends/http_connection.h
@@ -22,7 +22,8 @@
 
 /**
  * One connection of a caller. Serves one request at a time; a limited number of bytes behind it are kept meanwhile and
- * the rest stay in the socket. What it holds is reported to its port at each change.
+ * the rest stay in the socket. What it holds is reported to its port at each change. The end of what the caller sends is
+ * a hang-up, except behind pipelined requests, all of which are answered.
  */
 class http_connection : public std::enable_shared_from_this<http_connection>
 {
@@ -77,8 +78,10 @@
     };
 
     void awaitBytes();
+    void awaitReset();
     void receive();
     void consume(std::string_view bytes);
+    void keepPipelined(std::string_view bytes);
     void deliver(http_request request);
     void handleEnd(bool closedInOrder);
     void hangUp();
@@ -105,6 +108,8 @@
     std::size_t m_requestHeld = 0; /**< Of the request that is being served. */
     bool m_delivering = false; /**< The request in m_requestHeld is whole and has not been handed over yet. */
     bool m_awaiting = false;
+    bool m_hasPipelined = false; /**< Bytes of a request came before the answer to the one ahead of it was sent. */
+    bool m_inputEnded = false; /**< The caller has closed its sending side behind pipelined requests. */
     bool m_keepAlive = true;
     bool m_isHead = false;
     bool m_streaming = false;
--- a/src/ends/http_limits.h
+++ b/src/ends/http_limits.h
@@ -9,6 +9,9 @@
 /** Memory charged for a connection without a request. */
 constexpr std::size_t connectionBytes = std::size_t{4} << 10U;
 
+/** Bytes behind a request that is being served that are read, so that a caller's hang-up is noticed in time. */
+constexpr std::size_t maxPipelinedBytes = std::size_t{16} << 10U;
+
 /** What an HTTP server takes from one caller and from all together. What exceeds it is rejected and reaches no handler. */
 struct http_limits {
     std::size_t maxHeaderBytes = std::size_t{16} << 10U; /**< Of the names and values of a request's headers, and of its target. */
--- a/src/ends/http_port.h
+++ b/src/ends/http_port.h
@@ -101,7 +101,7 @@
     address_limit m_addresses;
     std::map<byte_holder_id, std::shared_ptr<http_connection>> m_connections;
     std::map<http_rejection, event_quota> m_eventQuotas;
-    std::array<char, std::size_t{64} << 10U> m_readBuffer{};
+    std::array<char, maxPipelinedBytes> m_readBuffer{}; /**< No larger, since bytes behind a request are kept that were read with it. */
     bool m_checking = false;
 };
 
--- a/tests/ends/http_server_test.cpp
+++ b/tests/ends/http_server_test.cpp
@@ -263,3 +263,76 @@
     }
     EXPECT_TRUE(m_rejections.empty());
 }
+
+// A caller that sent several requests and then closed its sending side lost those that had not been handed over.
+TEST_F(HttpServer, AnswersAllPipelinedRequestsOfACallerThatHasClosedItsSendingSide)
+{
+    serve({});
+    auto socket = connect();
+    send(socket, "GET /1 HTTP/1.1\r\n\r\n" + postHead(3) + "abcGET /3 HTTP/1.1\r\n\r\n");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    for (std::size_t i = 0; i < 3; ++i) {
+        ASSERT_TRUE(runUntil([&] { return m_requests.size() == i + 1; })) << i;
+        m_context.run_for(std::chrono::milliseconds(20)); // The end of what the caller sends is noticed meanwhile.
+        m_exchanges[i]->respond({200, {}, "answer " + std::to_string(i)});
+    }
+    const std::string answers = readUntil(socket, "nothing");
+    EXPECT_NE(answers.find("answer 0"), std::string::npos);
+    EXPECT_NE(answers.find("answer 1"), std::string::npos);
+    EXPECT_NE(answers.find("answer 2"), std::string::npos);
+    EXPECT_EQ(m_requests[1].body, "abc");
+    EXPECT_TRUE(runUntil([&] { return m_server->connections() == 0; }));
+    EXPECT_TRUE(m_rejections.empty());
+}
+
+// More requests than are read ahead stay in the socket, and the end of what the caller sends behind them.
+TEST_F(HttpServer, AnswersMorePipelinedRequestsThanAreReadAheadAndKeepsFewBytes)
+{
+    static constexpr std::size_t requests = 60;
+    serve({});
+    auto socket = connect();
+    std::string all;
+    for (std::size_t i = 0; i < requests; ++i) {
+        all += postHead(3'000) + std::string(3'000, 'x');
+    }
+    asio::async_write(socket, asio::buffer(all), [&](const std::error_code &, std::size_t) { socket.shutdown(asio::ip::tcp::socket::shutdown_send); });
+    for (std::size_t i = 0; i < requests; ++i) {
+        ASSERT_TRUE(runUntil([&] { return m_requests.size() == i + 1; })) << i;
+        m_context.run_for(std::chrono::milliseconds(1));
+        EXPECT_LT(m_server->heldBytes(), 64U << 10U);
+        m_exchanges[i]->respond({200, {}, "answer " + std::to_string(i) + ";"});
+    }
+    EXPECT_NE(readUntil(socket, "nothing").find("answer 59;"), std::string::npos);
+    EXPECT_TRUE(runUntil([&] { return m_server->connections() == 0; }));
+}
+
+// A connection whose caller had sent half a request and closed stayed open, or hid that a request was lost.
+TEST_F(HttpServer, APipelinedRequestThatIsNotWholeAtTheEndIsReportedOnce)
+{
+    serve({});
+    auto socket = connect();
+    send(socket, "GET /1 HTTP/1.1\r\n\r\n" + postHead(10) + "abc");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    ASSERT_TRUE(runUntil([&] { return m_requests.size() == 1; }));
+    m_context.run_for(std::chrono::milliseconds(20));
+    m_exchanges[0]->respond({200, {}, "first"});
+    EXPECT_NE(readUntil(socket, "nothing").find("first"), std::string::npos);
+    EXPECT_TRUE(runUntil([&] { return m_server->connections() == 0; }));
+    EXPECT_EQ(m_requests.size(), 1U);
+    EXPECT_EQ(m_rejections, std::vector{http_rejection::Incomplete});
+}
+
+// A caller that pipelined and then left was served to the end, each of its requests.
+TEST_F(HttpServer, NoticesByTheFirstAnswerThatACallerWithPipelinedRequestsHasGone)
+{
+    serve({});
+    auto socket = connect();
+    send(socket, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return m_requests.size() == 1; }));
+    socket.close();
+    m_context.run_for(std::chrono::milliseconds(20));
+    m_exchanges[0]->respond({200, {}, "first"});
+    ASSERT_TRUE(runUntil([&] { return m_requests.size() == 2 || m_server->connections() == 0; }));
+    EXPECT_TRUE(runUntil([&] { return m_server->connections() == 0; }));
+    EXPECT_EQ(m_server->heldBytes(), 0U);
+}
--- a/tests/process/excessive_callers.cpp
+++ b/tests/process/excessive_callers.cpp
@@ -22,6 +22,9 @@
 static constexpr std::size_t smallChunks = 300'000;
 static constexpr std::size_t smallChunksOfABlock = 1'000;
 
+static constexpr std::size_t pipelinedRequests = 16;
+static constexpr std::size_t pipelinedBytes = std::size_t{60} << 10U;
+
 excessive_callers::excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form, const std::string &source)
     : m_server(valueOf(parseEndpoint(endpoint(address))))
 {
@@ -65,6 +68,11 @@
         m_block = std::string(blockBytes, 'x');
         m_blocks = bodyLimit / blockBytes;
         break;
+    case excessive_body::PipelinedAndEnded:
+        m_block = head + "Content-Length: " + std::to_string(pipelinedBytes) + "\r\n\r\n" + std::string(pipelinedBytes, 'x');
+        m_blocks = pipelinedRequests;
+        m_endsSending = true;
+        break;
     }
     for (std::size_t i = 0; i < count; ++i) {
         m_callers.push_back(std::make_unique<caller>(m_context));
@@ -120,6 +128,9 @@
         if (!failure && !isLast) {
             --one.blocksLeft;
             sendNext(one);
+        } else if (!failure && m_endsSending) {
+            std::error_code ignored;
+            one.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         }
     });
 }
--- a/tests/process/excessive_callers.h
+++ b/tests/process/excessive_callers.h
@@ -20,6 +20,7 @@
     HugeLengthAnnounced, /**< 10 GB, of which 16 KiB come. */
     HugeLengthSent, /**< 10 GB announced, sent for as long as the server takes them. */
     WholeLength, /**< 4 MiB announced and sent; within the limits of one request. */
+    PipelinedAndEnded, /**< 16 requests of 60 KiB at once, then the end of the sending side. */
 };
 
 /** Callers on connections of their own that all send the same form at once, keep their connections open and read nothing meanwhile. */
@@ -71,6 +72,7 @@
     std::string m_block; /**< Sent again and again behind the head. */
     std::size_t m_blocks = 0;
     std::string m_end; /**< Sent once behind the blocks. */
+    bool m_endsSending = false; /**< The sending side is closed behind that. */
     std::size_t m_sentBytes = 0;
     std::vector<std::unique_ptr<caller>> m_callers;
 };
--- a/tests/process/excessive_callers_test.cpp
+++ b/tests/process/excessive_callers_test.cpp
@@ -105,4 +105,5 @@
                                            excessive_body::EndlessChunks,
                                            excessive_body::HugeLengthAnnounced,
                                            excessive_body::HugeLengthSent,
-                                           excessive_body::WholeLength));
+                                           excessive_body::WholeLength,
+                                           excessive_body::PipelinedAndEnded));
