--- a/fuzz/fuzz_main.cpp
+++ b/fuzz/fuzz_main.cpp
@@ -1,10 +1,11 @@
 // Runs a fuzz target without a fuzzing engine: on the files named, or on mutations of its own seeds from a fixed random
-// seed, so that CI gives the same verdict every time. "--mutations N" runs N of each seed.
+// seed, so that CI gives the same verdict every time. "--mutations N" runs N of each seed. A folder stands for its files.
 
 #include "fuzz_target.h"
 
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <random>
@@ -33,17 +34,37 @@
     }
 }
 
+/** Runs the target on a file, or on each file of a folder; the number of files. */
+static std::size_t runFiles(const std::filesystem::path &path)
+{
+    std::size_t files = 0;
+    if (std::filesystem::is_directory(path)) {
+        for (const auto &each : std::filesystem::directory_iterator(path)) {
+            files += runFiles(each.path());
+        }
+        return files;
+    }
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        std::fprintf(stderr, "cannot read %s\n", path.c_str());
+        std::exit(EXIT_FAILURE);
+    }
+    const std::vector<std::uint8_t> input{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    LLVMFuzzerTestOneInput(input.data(), input.size());
+    return 1;
+}
+
 int main(int argc, char **argv)
 {
     const bool isCounted = argc == 3 && std::string_view(argv[1]) == "--mutations";
     const int mutations = isCounted ? std::atoi(argv[2]) : defaultMutations;
-    for (int i = 1; i < argc && !isCounted; ++i) {
-        std::ifstream file(argv[i], std::ios::binary);
-        const std::vector<std::uint8_t> input{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-        LLVMFuzzerTestOneInput(input.data(), input.size());
-    }
     if (argc > 1 && !isCounted) {
-        return EXIT_SUCCESS;
+        std::size_t files = 0;
+        for (int i = 1; i < argc; ++i) {
+            files += runFiles(argv[i]);
+        }
+        std::printf("%zu files\n", files);
+        return files > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
     }
     std::mt19937_64 random(randomSeed);
     std::size_t runs = 0;
--- a/fuzz/request_fuzz.cpp
+++ b/fuzz/request_fuzz.cpp
@@ -82,5 +82,9 @@
             bytesOf("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhelloGET /b HTTP/1.0\r\n\r\n"),
             bytesOf("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1;x=y\r\nd\r\n0\r\nT: u\r\n\r\n"),
             bytesOf("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
-            bytesOf("POST /a HTTP/1.1\r\nContent-Length: 300\r\n\r\n" + std::string(300, 'x'))};
+            bytesOf("POST /a HTTP/1.1\r\nContent-Length: 300\r\n\r\n" + std::string(300, 'x')),
+            bytesOf("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n90\r\n" + std::string(144, 'x') + "\r\n90\r\n" + std::string(144, 'y')
+                    + "\r\n0\r\n\r\n"),
+            bytesOf("GET /1 HTTP/1.1\r\nConnection: close\r\n\r\nGET /2 HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n\r\nGET /3?#x HTTP/1.1\r\n\r\n"),
+            bytesOf("CONNECT h:1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nabPUT http://h/a%20b HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n")};
 }
