--- a/src/ends/http_connection.cpp
+++ b/src/ends/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "ends/clock.h"
 #include "ends/http_port.h"
+#include "ends/http_response_head.h"
 
 #include <carawayloft/core/overloaded.h>
 
@@ -12,7 +13,6 @@
 
 #include <algorithm>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 namespace carawayloft {
@@ -23,59 +23,12 @@
 /** Time for a caller to read the last answer of a connection. */
 static constexpr duration lingerTime{2'000};
 
-/** Bytes behind a request that is being served that are read, so that a caller's hang-up is noticed in time. */
-static constexpr std::size_t maxPipelinedBytes = std::size_t{16} << 10U;
-
 /** Memory of a header of a request beside its bytes. */
 static constexpr std::size_t fieldOverhead = 128;
 
 /** Retry-After of a request that did not fit into the budget: by then a body that makes no progress has been rejected in its place. */
 static constexpr const char *budgetRetryAfterSeconds = "1";
 
-static const char *reasonPhrase(std::uint32_t status)
-{
-    static const std::unordered_map<std::uint32_t, const char *> reasons{{200, "OK"},
-                                                                         {201, "Created"},
-                                                                         {202, "Accepted"},
-                                                                         {204, "No Content"},
-                                                                         {307, "Temporary Redirect"},
-                                                                         {400, "Bad Request"},
-                                                                         {401, "Unauthorized"},
-                                                                         {404, "Not Found"},
-                                                                         {408, "Request Timeout"},
-                                                                         {409, "Conflict"},
-                                                                         {413, "Payload Too Large"},
-                                                                         {414, "URI Too Long"},
-                                                                         {422, "Unprocessable Entity"},
-                                                                         {429, "Too Many Requests"},
-                                                                         {431, "Request Header Fields Too Large"},
-                                                                         {500, "Internal Server Error"},
-                                                                         {502, "Bad Gateway"},
-                                                                         {503, "Service Unavailable"},
-                                                                         {504, "Gateway Timeout"}};
-    const auto reason = reasons.find(status);
-    return reason == reasons.end() ? "Status" : reason->second;
-}
-
-/** First line and headers; @p framing is the line that says how the body is delimited, or empty. */
-static std::string encodeHead(const http_response &response, bool keepAlive, const std::string &framing)
-{
-    std::string out
-        = fmt::format("HTTP/1.1 {} {}\r\nConnection: {}\r\n{}", response.status, reasonPhrase(response.status), keepAlive ? "keep-alive" : "close", framing);
-    for (const auto &[name, value] : response.headers) {
-        out += fmt::format("{}: {}\r\n", name, value);
-    }
-    if (!response.headers.contains("Server")) {
-        out += "Server: carawayloft\r\n";
-    }
-    return out + "\r\n";
-}
-
-static bool hasNoBody(std::uint32_t status)
-{
-    return status == 204 || status == 304;
-}
-
 static std::size_t memoryOf(const http_request &request)
 {
     // The body once more, for the call to a server that it is copied into.
@@ -123,7 +76,7 @@
 void http_connection::awaitBytes()
 {
     const bool isFull = m_phase == phase::Serving && m_pipelined.size() >= maxPipelinedBytes;
-    if (m_awaiting || isFull || m_phase == phase::Closed) {
+    if (m_awaiting || m_inputEnded || isFull || m_phase == phase::Closed) {
         return;
     }
     m_awaiting = true;
@@ -136,6 +89,16 @@
     });
 }
 
+/** Once the caller has sent all, a socket is readable for good; then only a reset still tells that the caller has gone. */
+void http_connection::awaitReset()
+{
+    m_socket.async_wait(asio::ip::tcp::socket::wait_error, [self = shared_from_this()](const std::error_code &) {
+        if (self->m_phase != phase::Closed) {
+            self->hangUp();
+        }
+    });
+}
+
 void http_connection::receive()
 {
     std::span<char> buffer = m_port->readBuffer();
@@ -154,7 +117,7 @@
     if (m_phase == phase::Receiving) {
         consume({buffer.data(), bytes});
     } else if (m_phase == phase::Serving) {
-        m_pipelined.append(buffer.data(), bytes);
+        keepPipelined({buffer.data(), bytes});
     }
     reportHeld();
     awaitBytes();
@@ -191,10 +154,16 @@
                    reading);
     }
     if (m_phase == phase::Serving) {
-        m_pipelined.append(bytes);
+        keepPipelined(bytes);
     }
 }
 
+void http_connection::keepPipelined(std::string_view bytes)
+{
+    m_pipelined.append(bytes);
+    m_hasPipelined = m_hasPipelined || (m_keepAlive && !bytes.empty());
+}
+
 void http_connection::deliver(http_request request)
 {
     m_requestHeld = memoryOf(request);
@@ -215,6 +184,11 @@
 
 void http_connection::handleEnd(bool closedInOrder)
 {
+    if (closedInOrder && m_phase == phase::Serving && m_hasPipelined) {
+        m_inputEnded = true; // The caller may have closed its sending side alone and still reads the answers.
+        awaitReset();
+        return;
+    }
     if (closedInOrder && !m_sending.empty() && (m_phase == phase::Lingering || m_answerComplete)) {
         m_keepAlive = false; // The caller has no more requests and may still read the answer.
         return;
@@ -369,6 +343,10 @@
     m_since = monotonicNow();
     const std::string pipelined = std::exchange(m_pipelined, {});
     consume(pipelined);
+    if (m_inputEnded && m_phase == phase::Receiving) {
+        handleEnd(true); // No whole request is left.
+        return;
+    }
     awaitBytes();
 }
 
@@ -379,6 +357,10 @@
     m_since = monotonicNow();
     std::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (m_inputEnded) {
+        close();
+        return;
+    }
     awaitBytes();
 }
 
--- a/tests/process/excessive_callers.cpp
+++ b/tests/process/excessive_callers.cpp
@@ -22,7 +22,10 @@
 static constexpr std::size_t smallChunks = 300'000;
 static constexpr std::size_t smallChunksOfABlock = 1'000;
 
-excessive_callers::excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form)
+static constexpr std::size_t pipelinedRequests = 16;
+static constexpr std::size_t pipelinedBytes = std::size_t{60} << 10U;
+
+excessive_callers::excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form, const std::string &source)
     : m_server(valueOf(parseEndpoint(endpoint(address))))
 {
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
@@ -60,9 +63,23 @@
         m_block = std::string(blockBytes, 'x');
         m_blocks = endlessBytes / blockBytes;
         break;
+    case excessive_body::WholeLength:
+        m_head = head + "Content-Length: " + std::to_string(bodyLimit) + "\r\n\r\n";
+        m_block = std::string(blockBytes, 'x');
+        m_blocks = bodyLimit / blockBytes;
+        break;
+    case excessive_body::PipelinedAndEnded:
+        m_block = head + "Content-Length: " + std::to_string(pipelinedBytes) + "\r\n\r\n" + std::string(pipelinedBytes, 'x');
+        m_blocks = pipelinedRequests;
+        m_endsSending = true;
+        break;
     }
     for (std::size_t i = 0; i < count; ++i) {
         m_callers.push_back(std::make_unique<caller>(m_context));
+        if (!source.empty()) {
+            m_callers.back()->socket.open(asio::ip::tcp::v4());
+            m_callers.back()->socket.bind({asio::ip::make_address(source), 0});
+        }
         m_callers.back()->socket.connect(m_server);
         m_callers.back()->blocksLeft = m_blocks;
     }
@@ -111,6 +128,9 @@
         if (!failure && !isLast) {
             --one.blocksLeft;
             sendNext(one);
+        } else if (!failure && m_endsSending) {
+            std::error_code ignored;
+            one.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         }
     });
 }
--- a/tests/process/excessive_callers.h
+++ b/tests/process/excessive_callers.h
@@ -19,14 +19,19 @@
     EndlessChunks,
     HugeLengthAnnounced, /**< 10 GB, of which 16 KiB come. */
     HugeLengthSent, /**< 10 GB announced, sent for as long as the server takes them. */
+    WholeLength, /**< 4 MiB announced and sent; within the limits of one request. */
+    PipelinedAndEnded, /**< 16 requests of 60 KiB at once, then the end of the sending side. */
 };
 
 /** Callers on connections of their own that all send the same form at once, keep their connections open and read nothing meanwhile. */
 class excessive_callers
 {
 public:
-    /** Connects @p count callers to @p address. @p head is a request's first line and headers without those of the body. */
-    excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form);
+    /**
+     * Connects @p count callers to @p address, from the address @p source unless it is empty. @p head is a request's first
+     * line and headers without those of the body.
+     */
+    excessive_callers(std::size_t count, const std::string &address, const std::string &head, excessive_body form, const std::string &source = {});
     ~excessive_callers();
 
     excessive_callers(const excessive_callers &) = delete;
@@ -67,6 +72,7 @@
     std::string m_block; /**< Sent again and again behind the head. */
     std::size_t m_blocks = 0;
     std::string m_end; /**< Sent once behind the blocks. */
+    bool m_endsSending = false; /**< The sending side is closed behind that. */
     std::size_t m_sentBytes = 0;
     std::vector<std::unique_ptr<caller>> m_callers;
 };
