http_port: accepting and closing a port is a module of its own

http_port.cpp is large and grows. Accepting connections, trying again where no descriptor is left, and closing without a reset need nothing of the connections that are served; connection_acceptor has them. No behaviour changes.

--- a/src/ends/http_port.cpp
+++ b/src/ends/http_port.cpp
@@ -6,25 +6,15 @@
 #include <carawayloft/core/overloaded.h>
 
 #include <algorithm>
-#include <linux/filter.h>
-#include <netinet/tcp.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 
 #include <vector>
 
 namespace carawayloft {
 
-/** Interval at which a server that stops listening looks whether connections wait, and for how long it does. */
-static constexpr std::chrono::milliseconds closeRetryPeriod{5};
-static constexpr std::chrono::milliseconds maxCloseTime{50};
-
 /** Interval at which the time limits of connections are checked. */
 static constexpr std::chrono::milliseconds checkPeriod{250};
 
-/** Time until the next attempt to accept where the process has no descriptor left. */
-static constexpr std::chrono::milliseconds acceptRetryDelay{20};
-
 /** Part of the process's descriptors that one port may take. Ports are not limited together. */
 static constexpr std::size_t descriptorShareNumerator = 3;
 static constexpr std::size_t descriptorShareDenominator = 4;
@@ -67,10 +57,7 @@
     , m_maxConnections(maxConnectionsOfAPort(limits))
     , m_handle(std::move(handle))
     , m_onRejected(std::move(onRejected))
-    , m_acceptor(context)
-    , m_acceptTimer(context)
     , m_checkTimer(context)
-    , m_closeTimer(context)
     , m_budget(limits.maxHeldBytes)
     , m_addresses(limits.maxConnectionsPerAddress)
 {
@@ -78,32 +65,20 @@
 
 void http_port::open(const asio::ip::tcp::endpoint &at)
 {
-    m_acceptor.open(at.protocol());
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(at);
-    m_acceptor.listen();
-    accept();
-}
-
-void http_port::accept()
-{
-    m_acceptor.async_accept(m_context, [self = shared_from_this()](const std::error_code &failure, asio::ip::tcp::socket socket) {
-        if (!self->m_acceptor.is_open()) {
-            return;
-        }
-        if (!failure) {
-            self->add(std::move(socket));
-            self->accept();
-            return;
-        }
-        self->closeIdleConnection();
-        self->m_acceptTimer.expires_after(acceptRetryDelay);
-        self->m_acceptTimer.async_wait([self](const std::error_code &cancelled) {
-            if (!cancelled && self->m_acceptor.is_open()) {
-                self->accept();
+    const std::weak_ptr<http_port> weak = weak_from_this();
+    m_acceptor = std::make_shared<connection_acceptor>(
+        m_context,
+        [weak](asio::ip::tcp::socket socket) {
+            if (const auto self = weak.lock()) {
+                self->add(std::move(socket));
+            }
+        },
+        [weak] {
+            if (const auto self = weak.lock()) {
+                self->closeIdleConnection();
             }
         });
-    });
+    m_acceptor->open(at);
 }
 
 void http_port::add(asio::ip::tcp::socket socket)
@@ -213,66 +188,14 @@
     }
 }
 
-std::uint16_t http_port::listeningPort() const
-{
-    std::error_code notListening;
-    const auto at = m_acceptor.local_endpoint(notListening);
-    return notListening ? std::uint16_t{0} : at.port();
-}
-
-void http_port::stopListening()
-{
-    m_closeBy = std::chrono::steady_clock::now() + maxCloseTime;
-    ignoreNewConnections();
-    awaitClose();
-}
-
-/** Makes the system drop segments that open a connection, so that none is accepted while the port closes. */
-void http_port::ignoreNewConnections()
-{
-    static constexpr std::uint32_t flagsOffset = 13; // In the TCP header.
-    static constexpr std::uint32_t synFlag = 0x02;
-    static constexpr std::uint32_t wholeSegment = 0xffffffff;
-    std::array<sock_filter, 4> program{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
-                                        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
-                                        BPF_STMT(BPF_RET | BPF_K, 0),
-                                        BPF_STMT(BPF_RET | BPF_K, wholeSegment)}};
-    const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
-    setsockopt(m_acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
-}
-
-void http_port::awaitClose()
-{
-    m_closeTimer.expires_after(closeRetryPeriod);
-    m_closeTimer.async_wait([self = shared_from_this()](const std::error_code &cancelled) {
-        if (cancelled || !self->m_acceptor.is_open()) {
-            return;
-        }
-        if (self->waitingConnections() == 0 || std::chrono::steady_clock::now() >= self->m_closeBy) {
-            self->m_acceptor.close();
-        } else {
-            self->awaitClose();
-        }
-    });
-}
-
-/** Connections in the accept queue; zero where the system does not tell. */
-std::size_t http_port::waitingConnections()
-{
-    tcp_info info{};
-    socklen_t size = sizeof(info);
-    return getsockopt(m_acceptor.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_unacked : 0;
-}
-
 void http_port::shutDown()
 {
     m_handle = nullptr;
     m_onRejected = nullptr;
-    std::error_code ignored;
-    m_acceptor.close(ignored);
-    m_acceptTimer.cancel();
+    if (m_acceptor) {
+        m_acceptor->shutDown();
+    }
     m_checkTimer.cancel();
-    m_closeTimer.cancel();
     const auto connections = std::exchange(m_connections, {});
     for (const auto &[id, connection] : connections) {
         connection->close();
--- a/src/ends/http_port.h
+++ b/src/ends/http_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ends/address_limit.h"
+#include "ends/connection_acceptor.h"
 #include "ends/event_quota.h"
 #include "ends/http_connection.h"
 #include "ends/http_limits.h"
@@ -35,10 +36,16 @@
     void open(const asio::ip::tcp::endpoint &at);
 
     /** Connections that the system has accepted and that are not served yet would be reset, so they are taken first. */
-    void stopListening();
+    void stopListening()
+    {
+        m_acceptor->stopListening();
+    }
 
     /** Zero unless it listens. */
-    std::uint16_t listeningPort() const;
+    std::uint16_t listeningPort() const
+    {
+        return m_acceptor->listeningPort();
+    }
 
     /** Closes everything and calls no handler from now on. */
     void shutDown();
@@ -72,7 +79,6 @@
     void reportRejection(http_rejection why, const asio::ip::tcp::endpoint &peer, const std::string &reason, std::size_t bodyBytes);
 
 private:
-    void accept();
     void add(asio::ip::tcp::socket socket);
 
     /** Closes the oldest idle connection, of @p address if given; false if there is none. */
@@ -82,20 +88,14 @@
     bool makeRoomFor(const http_connection &connection);
 
     void awaitTimeCheck();
-    void ignoreNewConnections();
-    void awaitClose();
-    std::size_t waitingConnections();
 
     asio::io_context &m_context;
     http_limits m_limits;
     std::size_t m_maxConnections;
     request_handler m_handle;
     rejection_handler m_onRejected;
-    asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_acceptTimer;
+    std::shared_ptr<connection_acceptor> m_acceptor; /**< Once it is opened. */
     asio::steady_timer m_checkTimer;
-    asio::steady_timer m_closeTimer;
-    std::chrono::steady_clock::time_point m_closeBy;
     byte_holder_id m_lastHolder;
     byte_budget m_budget;
     address_limit m_addresses;
