Gateways send to cold servers in turns, and save none

What callers saw: cold servers got up to 28 requests in a second where 26 are allowed, with 52 gateways. Servers that get more than they sustain while they warm up answer late or not at all.

Cause: below one request a second, each gateway saved one whole request for a server that it did not use, and all could use it in the same second. A gateway that did not know the others assumed 32, and a new leader counts only those that it has heard.

Change: where there are more gateways than requests a second, a gateway sends only in its turn (server_turns), once a second. Control gives each gateway a place that it keeps, the number of places and its time (three members at the end of gateway_grant). A process in its first second and a gateway whose turns have changed use a third. Nothing is sent before the number of gateways is known.

FleetLimiter tests are unchanged.

--- a/include/carawayloft/fleet/fleet_messages.h
+++ b/include/carawayloft/fleet/fleet_messages.h
@@ -244,6 +244,9 @@
     std::vector<request_share> requestShares{}; /**< Of published request limits; of those that are missing, this gateway has no share. */
     std::vector<class_demand> classDemand{}; /**< Demand at all gateways, this one included. */
     std::vector<model_capacity> capacities{}; /**< Of the models of all services. */
+    std::uint32_t turn = 0; /**< Place of this gateway among the turns at servers that cannot serve all gateways at once. */
+    std::uint32_t turns = 0; /**< Number of places; zero from a control that gives none. */
+    std::uint64_t turnClockMs = 0; /**< Time at control by which the turns change. */
 
     static constexpr auto fields()
     {
@@ -257,7 +260,10 @@
                           field{"suspects", &gateway_grant::suspects},
                           field{"request_shares", &gateway_grant::requestShares},
                           field{"class_demand", &gateway_grant::classDemand},
-                          field{"capacities", &gateway_grant::capacities});
+                          field{"capacities", &gateway_grant::capacities},
+                          field{"turn", &gateway_grant::turn},
+                          field{"turns", &gateway_grant::turns},
+                          field{"turn_clock_ms", &gateway_grant::turnClockMs});
     }
 };
 
--- a/include/carawayloft/fleet/fleet_pipe.h
+++ b/include/carawayloft/fleet/fleet_pipe.h
@@ -41,6 +41,7 @@
 private:
     struct gateway {
         time_point heardAt;
+        std::uint32_t turn = 0; /**< Its place among the turns at cold servers, as long as it is connected. */
         std::vector<group_load> loads;
         std::set<backend_id> unreachable;
         std::set<backend_id> answering; /**< Servers outside groups that answer it. */
@@ -92,6 +93,7 @@
     bool isServing(const backend_id &backend) const;
     bool isUnreachableForAllUsers(const backend_id &backend) const;
     std::uint32_t countRecentGateways();
+    std::uint32_t takeTurn();
     std::vector<request_share> sharesOf(link_id gateway);
     fleet_traffic totalTraffic() const;
     const std::vector<class_demand> &totalClassDemand();
@@ -124,6 +126,7 @@
     std::vector<service_settings> m_services;
     std::set<availability_zone_id> m_zonesOut;
     std::map<link_id, gateway> m_gateways;
+    std::set<std::uint32_t> m_turns; /**< Places in use. */
     std::vector<class_demand> m_classDemand; /**< Sum over the gateways, as of m_classDemandAt. */
     std::optional<time_point> m_classDemandAt;
     std::deque<time_point> m_gatewaysLost; /**< Disconnects within the window of the shared limits. */
--- a/include/carawayloft/gateway/fleet_limiter.h
+++ b/include/carawayloft/gateway/fleet_limiter.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <carawayloft/core/ids.h>
+#include <carawayloft/gateway/server_turns.h>
 #include <carawayloft/gateway/sliding_window_counter.h>
 #include <carawayloft/gateway/token_bucket.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -38,9 +40,18 @@
     /** @p seed should differ between gateways, so that they do not all use small shares at the same moments. */
     explicit fleet_limiter(const fleet_limits &limits, std::uint64_t seed = 1);
 
-    /** Sets how many gateways share the limits, or have shared them within the last window. */
+    /** Tells when the process started; the one before it may have used its share until then. */
+    void setStartedAt(time_point startedAt);
+
+    /** Sets how many gateways share the limits, or have shared them within the last window. A smaller number counts after 2 s. */
     void setGateways(std::uint32_t gateways, time_point now);
 
+    /**
+     * Sets the place among the turns at servers that take fewer requests a second than there are gateways. Until control gives
+     * one, it is drawn at random.
+     */
+    void assignTurn(const turn_assignment &assignment, time_point now);
+
     /** Counts a request of a caller, which adds to the retry budget of the service. */
     void countRequest(const service_id &service, time_point now);
 
@@ -70,19 +81,24 @@
     /** Requests to one backend server. */
     struct backend_sends {
         sliding_window_counter recent;
-        token_bucket cold; /**< For a share of the cold limit below one request per second. */
         token_bucket named; /**< For the share of the limit that the server named. */
-        bool usesCold = false;
         bool usesNamed = false;
     };
 
     service_window &windowFor(const service_id &service);
     backend_sends &sendsTo(const backend_id &backend);
-    bool keepsColdLimit(backend_sends &sends, const send_limits &limits, time_point now) const;
+    bool keepsColdLimit(const backend_id &backend, backend_sends &sends, const send_limits &limits, time_point now) const;
+    bool keepsTurn(const backend_id &backend, backend_sends &sends, double limit, double bound, time_point now) const;
+    bool isStarting(time_point now) const;
     bool keepsNamedLimit(backend_sends &sends, const send_limits &limits, time_point now) const;
 
     fleet_limits m_limits;
     std::uint32_t m_gateways = 0; /**< Zero until control has reported the number. */
+    std::deque<std::pair<time_point, std::uint32_t>> m_reportedGateways; /**< Numbers that still count. */
+    server_turns m_turns;
+    std::uint32_t m_drawnPlace; /**< Used modulo the number of gateways until control gives a place. */
+    bool m_placeGiven = false;
+    std::optional<time_point> m_startedAt;
     time_point m_slackFrom; /**< When this gateway may start to use its share of the retry slack. */
     std::map<service_id, service_window> m_services;
     std::map<backend_id, backend_sends> m_sends;
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -51,6 +51,7 @@
         m_mirror.apply(snapshot(m_now), m_now);
         stepController(group_control_ended{});
         m_gateways.clear();
+        m_turns.clear();
         m_probes.clear();
         m_probeRecords.clear();
     }
--- a/src/fleet_pipe/fleet_pipe_gateways.cpp
+++ b/src/fleet_pipe/fleet_pipe_gateways.cpp
@@ -31,11 +31,24 @@
 
 void fleet_pipe::handle(const gateway_lost &in)
 {
-    if (m_gateways.erase(in.gateway) > 0) {
+    if (const auto found = m_gateways.find(in.gateway); found != m_gateways.end()) {
+        m_turns.erase(found->second.turn);
+        m_gateways.erase(found);
         m_gatewaysLost.push_back(m_now);
     }
 }
 
+/** Takes the lowest free place, so that no other gateway's turns move. */
+std::uint32_t fleet_pipe::takeTurn()
+{
+    std::uint32_t place = 0;
+    for (auto each = m_turns.begin(); each != m_turns.end() && *each == place; ++each) {
+        ++place;
+    }
+    m_turns.insert(place);
+    return place;
+}
+
 std::uint32_t fleet_pipe::countRecentGateways()
 {
     while (!m_gatewaysLost.empty() && m_now >= m_gatewaysLost.front() + sharedLimitWindow) {
@@ -62,6 +75,7 @@
         m_trafficStartedAt = m_now;
     }
     if (isNew) {
+        found->second.turn = takeTurn();
         m_out.emplace_back(publish_to_gateway{in.gateway, snapshot(m_now)});
     }
     correlateCrashes(in.report);
@@ -98,6 +112,9 @@
     }
     grant.classDemand = totalClassDemand();
     grant.capacities = capacities();
+    grant.turn = found->second.turn;
+    grant.turns = *m_turns.rbegin() + 1;
+    grant.turnClockMs = static_cast<std::uint64_t>(std::chrono::duration_cast<duration>(m_now.time_since_epoch()).count());
     m_out.emplace_back(grant_to_gateway{in.gateway, std::move(grant)});
     for (const backend_id &each : in.report.unreachable) {
         handleUnreachableReport(each);
--- a/src/gateway_pipe/fleet_limiter.cpp
+++ b/src/gateway_pipe/fleet_limiter.cpp
@@ -23,8 +23,18 @@
 /** Number of gateways that is assumed until control has reported it. */
 static constexpr std::uint32_t gatewaysWhileUnknown = 32;
 
+/** Time for which the largest reported number of gateways counts: a new control leader hears of them one after another. */
+static constexpr duration gatewayCountTime{2'000};
+
+/**
+ * Share of the limits of cold servers while the gateways before this one, or those with other turns, may have used theirs within
+ * the window. With it the total stays below 1.5 times the limit.
+ */
+static constexpr double settlingShare = 1.0 / 3.0;
+
 fleet_limiter::fleet_limiter(const fleet_limits &limits, std::uint64_t seed)
     : m_limits(limits)
+    , m_drawnPlace(static_cast<std::uint32_t>(std::mt19937_64(seed)()))
     , m_random(seed)
 {
 }
@@ -35,7 +45,33 @@
         // A previous gateway process may have used this share within the same window.
         m_slackFrom = now + m_limits.retryWindow;
     }
-    m_gateways = std::max<std::uint32_t>(gateways, 1);
+    while (!m_reportedGateways.empty() && now >= m_reportedGateways.front().first + gatewayCountTime) {
+        m_reportedGateways.pop_front();
+    }
+    m_reportedGateways.emplace_back(now, std::max<std::uint32_t>(gateways, 1));
+    m_gateways = 0;
+    for (const auto &[at, count] : m_reportedGateways) {
+        m_gateways = std::max(m_gateways, count);
+    }
+    if (!m_placeGiven) {
+        m_turns.assign({m_drawnPlace % m_gateways, m_gateways, std::chrono::duration_cast<duration>(now.time_since_epoch())}, now);
+    }
+}
+
+void fleet_limiter::assignTurn(const turn_assignment &assignment, time_point now)
+{
+    m_placeGiven = true;
+    m_turns.assign(assignment, now);
+}
+
+void fleet_limiter::setStartedAt(time_point startedAt)
+{
+    m_startedAt = startedAt;
+}
+
+bool fleet_limiter::isStarting(time_point now) const
+{
+    return m_startedAt && now < *m_startedAt + sendWindow;
 }
 
 fleet_limiter::service_window &fleet_limiter::windowFor(const service_id &service)
@@ -69,9 +105,7 @@
         return found->second;
     }
     std::uniform_real_distribution<double> fraction(0.0, 1.0);
-    return m_sends
-        .emplace(backend, backend_sends{sliding_window_counter(sendWindow), token_bucket(fraction(m_random)), token_bucket(fraction(m_random)), false, false})
-        .first->second;
+    return m_sends.emplace(backend, backend_sends{sliding_window_counter(sendWindow), token_bucket(fraction(m_random)), false}).first->second;
 }
 
 double fleet_limiter::equalShare(double limit) const
@@ -79,22 +113,32 @@
     return limit / (m_gateways == 0 ? gatewaysWhileUnknown : m_gateways);
 }
 
-bool fleet_limiter::keepsColdLimit(backend_sends &sends, const send_limits &limits, time_point now) const
+/** Whether this gateway has its turn at a server that cannot take one request a second from each, and has not used it. */
+bool fleet_limiter::keepsTurn(const backend_id &backend, backend_sends &sends, double limit, double bound, time_point now) const
+{
+    // Within a second, as many gateways may have a turn as have one at a time and enter in that second.
+    const double atOnce = std::min(limit, bound - server_turns::entriesPerSecond);
+    const double active = std::floor(isStarting(now) || !m_turns.isSettled(now) ? atOnce * settlingShare : atOnce);
+    return m_turns.hasTurn(backend, static_cast<std::uint32_t>(std::max(active, 1.0)), now) && sends.recent.count(now) == 0;
+}
+
+bool fleet_limiter::keepsColdLimit(const backend_id &backend, backend_sends &sends, const send_limits &limits, time_point now) const
 {
     const double bearable = limits.coldRequestsPerSecond;
-    sends.usesCold = false;
     if (bearable <= 0.0) {
         return true;
     }
-    const double limit = limits.cold ? bearable : warmRateShare * (bearable * m_limits.coldRateFactor + m_limits.coldRateSlack);
+    if (m_gateways == 0) {
+        return false; // Without the number of gateways no share is small enough.
+    }
+    const double bound = bearable * m_limits.coldRateFactor + m_limits.coldRateSlack;
+    const double limit = limits.cold ? bearable : warmRateShare * bound;
     const double equal = equalShare(limit);
     const double share = limits.otherGatewaysRate ? std::max(equal, (limit - *limits.otherGatewaysRate) * sharedLimitShare) : equal;
-    sends.cold.refill(share, 1.0, now);
     if (share < 1.0) {
-        sends.usesCold = true;
-        return sends.cold.hasToken();
+        return keepsTurn(backend, sends, limit, bound, now);
     }
-    const double ownLimit = std::floor(share);
+    const double ownLimit = std::floor(isStarting(now) ? share * settlingShare : share);
     const double maxBurst = std::ceil(ownLimit * (std::chrono::duration<double>(burstWindow) / std::chrono::duration<double>(sendWindow))) + burstSlack;
     return static_cast<double>(sends.recent.count(now)) + 1.0 <= ownLimit && static_cast<double>(sends.recent.countSince(now - burstWindow)) + 1.0 <= maxBurst;
 }
@@ -110,7 +154,7 @@
 bool fleet_limiter::maySend(const backend_id &backend, const send_limits &limits, time_point now)
 {
     backend_sends &sends = sendsTo(backend);
-    const bool keepsCold = keepsColdLimit(sends, limits, now);
+    const bool keepsCold = keepsColdLimit(backend, sends, limits, now);
     return keepsNamedLimit(sends, limits, now) && keepsCold;
 }
 
@@ -119,9 +163,6 @@
     backend_sends &sends = sendsTo(backend);
     sends.recent.count(now); // Drops what has left the window.
     sends.recent.add(now);
-    if (sends.usesCold) {
-        sends.cold.take();
-    }
     if (sends.usesNamed) {
         sends.named.take();
     }
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -36,7 +36,10 @@
 std::vector<gateway_pipe::output> gateway_pipe::step(const input &in, time_point now)
 {
     m_now = now;
-    m_startedAt = m_startedAt == time_point() ? now : m_startedAt;
+    if (m_startedAt == time_point()) {
+        m_startedAt = now;
+        m_limiter.setStartedAt(now);
+    }
     m_out.clear();
     std::visit([this](const auto &each) { handle(each); }, in);
     if (m_stopping && !m_drainedReported && m_activeRequests.empty()) {
--- a/src/gateway_pipe/gateway_pipe_fleet.cpp
+++ b/src/gateway_pipe/gateway_pipe_fleet.cpp
@@ -226,6 +226,9 @@
     }
     m_reportedAt.erase(m_reportedAt.begin(), std::next(reported));
     m_limiter.setGateways(grant.gateways, m_now);
+    if (grant.turns > 0) {
+        m_limiter.assignTurn({grant.turn, grant.turns, duration(grant.turnClockMs)}, m_now);
+    }
     m_peakRates.setTraffic(grant.modelTraffic);
     m_peakRates.setCapacities(grant.capacities);
     m_admission.step(demand_granted{grant.modelTraffic, grant.classDemand, grant.gateways}, m_now);
--- a/tests/fleet/fleet_pipe_test.cpp
+++ b/tests/fleet/fleet_pipe_test.cpp
@@ -79,6 +79,28 @@
     EXPECT_EQ(state(), backend_state::Draining);
 }
 
+// Guards against two gateways with the same turns at cold servers, and against turns that move when another gateway ends.
+TEST_F(FleetPipe, EveryGatewayKeepsAPlaceOfItsOwnAmongTheTurns)
+{
+    const auto placeOf = [this](std::uint64_t gateway) {
+        step(gateway_reported{link_id(gateway), {}, revision(), {}});
+        return lastGrant.turn;
+    };
+    EXPECT_EQ(placeOf(7), 0U);
+    EXPECT_EQ(placeOf(3), 1U);
+    EXPECT_EQ(placeOf(5), 2U);
+    EXPECT_EQ(lastGrant.turns, 3U);
+    step(gateway_lost{link_id(3)});
+    EXPECT_EQ(placeOf(7), 0U);
+    EXPECT_EQ(placeOf(5), 2U);
+    EXPECT_EQ(lastGrant.turns, 3U);
+    EXPECT_EQ(placeOf(9), 1U);
+    now += duration(250);
+    const std::uint64_t clock = lastGrant.turnClockMs;
+    placeOf(9);
+    EXPECT_EQ(lastGrant.turnClockMs, clock + 250);
+}
+
 static gateway_report reportDemand(const std::string &account, double requestsPerSecond)
 {
     gateway_report report;
