The HTTP client sends a call at most once

Cause: libcurl sends a request again by itself when a reused connection ends before the first byte of an answer, also after the request was sent whole.

Change: the client refuses a second connection for a call whose request has gone out (CURLOPT_PREREQFUNCTION, CURLOPT_OPENSOCKETFUNCTION), and the call fails and says whether any byte was sent. The gateway repeats it by its own rules: what was surely not sent goes elsewhere, anything else only within attempts and the retry budget.

--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -182,6 +182,7 @@
     void recordOutcome(const request_context &context, bool failure);
     double namedLimitOf(const backend_record &record) const;
     std::optional<double> namedShareOf(const backend_record &record) const;
+    static bool mayRunAgain(const request_context &context);
     void recordNamedLimit(const backend_id &backend, std::optional<double> limit);
     void recordNotices(const request_context &context, const backend_answer_started &in);
     std::vector<leaving_backend> unpublishedLeaving() const;
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <string_view>
 #include <sys/socket.h>
+#include <utility>
 
 namespace carawayloft {
 
@@ -33,6 +34,8 @@
     bool headComplete = false; /**< The empty line behind the head of the answer itself, not of an informational one, has come. */
     bool started = false;
     bool paused = false;
+    bool issued = false; /**< A connection was there and the request went out on it, or tried to. */
+    bool resendRefused = false; /**< libcurl wanted to send the request again, on another connection. */
 
     ~transfer()
     {
@@ -169,6 +172,10 @@
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
         curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &impl::onNewSocket);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &impl::onOpenSocket);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &one);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &impl::onRequest);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &one);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &impl::onHeader);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &one);
         if (!one.body.empty() || call.method == "POST" || call.method == "PUT") {
@@ -194,6 +201,24 @@
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &one);
     }
 
+    /** Called for each connection before the request goes out on it: for a second one when the first, a kept one, was closed without an answer. */
+    static int onRequest(void *user, char *, char *, int, int)
+    {
+        auto &one = *static_cast<transfer *>(user);
+        one.resendRefused = std::exchange(one.issued, true);
+        return one.resendRefused ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    }
+
+    static curl_socket_t onOpenSocket(void *user, curlsocktype, curl_sockaddr *address)
+    {
+        auto &one = *static_cast<transfer *>(user);
+        if (one.issued) {
+            one.resendRefused = true; // Without the time that a connection to a lost host takes.
+            return CURL_SOCKET_BAD;
+        }
+        return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    }
+
     static int onNewSocket(void *, curl_socket_t socket, curlsocktype)
     {
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unconfirmedTimeoutMs, sizeof(unconfirmedTimeoutMs));
@@ -374,10 +399,13 @@
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
         const bool neverSent = sentBytes == 0 && !one->started;
         const char *failure = one->failure == nullptr ? curl_easy_strerror(code) : one->failure;
+        if (one->resendRefused) {
+            failure = "the kept connection was closed";
+        }
         if (headCut) {
             failure = "the connection ended inside the head of the answer";
         }
-        const bool closedByServer = headCut || (!neverSent && one->failure == nullptr && isClosedByServer(easy, code));
+        const bool closedByServer = headCut || (!neverSent && one->failure == nullptr && (one->resendRefused || isClosedByServer(easy, code)));
         one->handle(http_failed{{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent, closedByServer});
     }
 
--- a/src/ends/http_client.h
+++ b/src/ends/http_client.h
@@ -18,7 +18,7 @@
     http_headers headers;
     std::string body;
     duration timeout{0}; /**< For the whole call; zero for none. */
-    bool freshConnection = false; /**< Never reuse one, which libcurl would replace and repeat the call on if it is dead. */
+    bool freshConnection = false; /**< Never reuse one, which may be dead. */
     std::size_t maxBodyBytes = 0; /**< A longer body of the answer fails the call; zero for no limit. */
 };
 
@@ -38,14 +38,17 @@
 
 struct http_failed {
     error why;
-    bool neverSent = false; /**< The server cannot have seen the call. */
+    bool neverSent = false; /**< No byte of the call was sent, so the server cannot have seen it. */
     bool closedByServer = false; /**< The server, or its host, ended the connection in the middle of the call. */
 };
 
 using http_event = std::variant<http_started, http_received, http_finished, http_failed>;
 using http_call_id = strong_type<struct http_call_id_tag, std::uint64_t>;
 
-/** HTTP calls by libcurl on its owner's io_context, without a thread of its own. */
+/**
+ * HTTP calls by libcurl on its owner's io_context, without a thread of its own. A call is sent at most once: where a kept
+ * connection turns out to be closed, the call fails and its owner decides.
+ */
 class http_client
 {
 public:
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -189,7 +189,7 @@
                       context.account,
                       timeLeft,
                       context.splice.lastEvent(),
-                      !context.route->allowsRetry() || context.triedBackends.contains(context.backend),
+                      !mayRunAgain(context) || context.triedBackends.contains(context.backend),
                       context.group.value() != 0 ? m_urgencies.urgencyOf(precedenceOf(context)) : std::nullopt});
 }
 
@@ -224,6 +224,12 @@
     }
 }
 
+/** Whether the route allows one more run beside those that there may have been. */
+bool gateway_pipe::mayRunAgain(const request_context &context)
+{
+    return context.route->allowsRetry() && context.possibleRuns < context.route->attempts;
+}
+
 /** Ends a failed call and dispatches the request again if it may run again. */
 void gateway_pipe::handleCallFailure(request_context &context, bool mayHaveRun, std::string reason)
 {
@@ -237,7 +243,7 @@
         --context.possibleRuns;
         m_serverStats[from].avoidedUntil = m_now + avoidanceTime;
     }
-    const bool mayRetry = context.possibleRuns == 0 || (context.route->allowsRetry() && context.possibleRuns < context.route->attempts);
+    const bool mayRetry = context.possibleRuns == 0 || mayRunAgain(context);
     if (!mayRetry || isSuspect || context.sendCount >= maxSends || context.splice.hasGap()) {
         giveUp(context);
         return;
--- a/tests/gateway/gateway_pipe_test.cpp
+++ b/tests/gateway/gateway_pipe_test.cpp
@@ -815,6 +815,16 @@
     EXPECT_TRUE(outputsOf<call_backend>().front().freshConnection);
 }
 
+// A kept connection may be dead. Where the request may not run again, that would be the end of it.
+TEST_F(GatewayPipe, TheLastPermittedRunUsesAConnectionOfItsOwn)
+{
+    const call_backend first = startCall(1, "/records/x");
+    EXPECT_FALSE(first.freshConnection);
+    step(backend_call_failed{first.call, false, "the kept connection was closed", true});
+    ASSERT_EQ(outputsOf<call_backend>().size(), 1U);
+    EXPECT_TRUE(outputsOf<call_backend>().front().freshConnection);
+}
+
 TEST_F(GatewayPipe, AnErrorOfTheNextServerDoesNotGetIntoAStreamThatHasBegun)
 {
     const call_backend first = startCall(1, "/draft/x");
