A server with broken answers gets nothing while another is sound

While that limit held a request back for some milliseconds, the faulty server was the only one left, for second attempts too. A body that trickles ended by the time limit of its request, which counted as no failure.

Change: two broken answers without a whole one between make a server failing (failure_streak). Refusals and slow servers do not count. A begun answer that the time limit ends counts as a failure if it had as long as the objective.

--- a/include/carawayloft/gateway/gateway_pipe.h
+++ b/include/carawayloft/gateway/gateway_pipe.h
@@ -7,6 +7,7 @@
 #include <carawayloft/gateway/backend_notices.h>
 #include <carawayloft/gateway/class_meter.h>
 #include <carawayloft/gateway/crash_witness.h>
+#include <carawayloft/gateway/failure_streak.h>
 #include <carawayloft/gateway/fleet_limiter.h>
 #include <carawayloft/gateway/gateway_messages.h>
 #include <carawayloft/gateway/group_monitor.h>
@@ -113,6 +114,7 @@
         std::uint32_t running = 0;
         double failureRate = 0.0; /**< Moving average over recent calls. */
         time_point avoidedUntil;
+        failure_streak streak;
         time_point answeredAt; /**< Start of its latest answer. */
     };
     struct group_probe {
@@ -154,6 +156,7 @@
     std::optional<candidate> chooseBackend(const request_context &context);
     std::optional<candidate> chooseGroup(const request_context &context);
     std::optional<candidate> chooseServer(const request_context &context);
+    void dropFailing(std::vector<candidate> &candidates) const;
     std::optional<candidate> chooseCheapest(const request_context &context, std::vector<candidate> candidates);
     send_limits sendLimitsOf(const request_context &context, const candidate &target);
     bool acceptsRequests(const backend_view::backend &backend) const;
@@ -179,10 +182,11 @@
     request_context *findByCall(backend_call_id call);
     void recordProgress(request_context &context);
     void handleNotExecuted(request_context &context, const backend_answer_started &in);
+    static bool mayRunAgain(const request_context &context);
     void recordOutcome(const request_context &context, bool failure);
+    void recordForm(const request_context &context, bool isBroken);
     double namedLimitOf(const backend_record &record) const;
     std::optional<double> namedShareOf(const backend_record &record) const;
-    static bool mayRunAgain(const request_context &context);
     void recordNamedLimit(const backend_id &backend, std::optional<double> limit);
     void recordNotices(const request_context &context, const backend_answer_started &in);
     std::vector<leaving_backend> unpublishedLeaving() const;
--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -314,6 +314,11 @@
         context.lastFailure = "the time limit of the request has expired";
         if (context.call.value() != 0) {
             emit(cancel_call{context.call});
+            // An answer that has begun and does not end; a shorter call may have come too late for a whole one.
+            if (context.headReceived && m_now >= context.sentAt + context.route->objective) {
+                recordOutcome(context, true);
+                recordForm(context, true);
+            }
             endCall(context);
         }
         giveUp(context);
--- a/src/gateway_pipe/gateway_pipe_answers.cpp
+++ b/src/gateway_pipe/gateway_pipe_answers.cpp
@@ -26,6 +26,7 @@
     }
     if (in.requestIdMismatch) {
         emit(cancel_call{in.call});
+        recordForm(*context, true);
         handleCallFailure(*context, true, "the answer belongs to another request");
         return;
     }
@@ -118,6 +119,7 @@
         const bool isLarge = context->body.size() > largeAnswerBytes;
         if (context->body.size() > maxWholeAnswerBytes || (isLarge && keptAnswerBytes() > m_options.maxKeptAnswers)) {
             emit(cancel_call{in.call});
+            recordForm(*context, true);
             handleCallFailure(*context, true, "the answer is too long");
         }
         return;
@@ -220,6 +222,7 @@
         return;
     }
     recordOutcome(*context, context->status >= http_status::internalServerError);
+    recordForm(*context, false);
     recordAnswerProgress(*context, true);
     const request_id request = context->request.request;
     if (context->isStreaming) {
@@ -247,6 +250,9 @@
     if (in.closedByServer) {
         recordLostCall(*context);
     }
+    if (!in.neverSent) {
+        recordForm(*context, true);
+    }
     handleCallFailure(*context, !in.neverSent, in.reason);
 }
 
--- a/src/gateway_pipe/gateway_pipe_calls.cpp
+++ b/src/gateway_pipe/gateway_pipe_calls.cpp
@@ -117,9 +117,22 @@
         const double jitter = std::uniform_real_distribution<double>(0.0, 0.5)(m_random);
         candidates.push_back({&backend, {}, stats.running + failureCost * stats.failureRate + avoidedCost + triedCost + zoneCost + jitter, stats.running, {}});
     }
+    dropFailing(candidates);
     return chooseCheapest(context, std::move(candidates));
 }
 
+/** Leaves out servers that are failing if any other is sound, also one that its limit keeps from taking a request just now. */
+void gateway_pipe::dropFailing(std::vector<candidate> &candidates) const
+{
+    const auto isFailing = [this](const candidate &each) {
+        const server_stats &stats = m_serverStats.at(each.backend->record.backend);
+        return stats.streak.isFailing(stats.running, m_now);
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), isFailing)) {
+        std::erase_if(candidates, isFailing);
+    }
+}
+
 /** The limits on requests to the candidate, over all gateways. */
 send_limits gateway_pipe::sendLimitsOf(const request_context &context, const candidate &target)
 {
@@ -224,6 +237,14 @@
     }
 }
 
+/** Records whether an answer was whole, whatever its status. Refusals and slow servers are no broken answers. */
+void gateway_pipe::recordForm(const request_context &context, bool isBroken)
+{
+    if (context.group.value() == 0) {
+        m_serverStats[context.backend].streak.record(isBroken, m_now);
+    }
+}
+
 /** Whether the route allows one more run beside those that there may have been. */
 bool gateway_pipe::mayRunAgain(const request_context &context)
 {
