Configurations that lack a part are rejected

What operators saw: a configuration without routes, services or limits, or with a version alone, was acknowledged and removed all routes.

Cause: a missing list was read as an empty one.

Change: a new configuration needs version, routes, services and limits; else 400 with an error that names the first missing part. What is in the log is read as before, since earlier releases accepted incomplete documents and a gateway must still read the one in force.

The configuration of the process tests lacked limits; it is completed with the values that applied without them.

--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -59,7 +59,37 @@
     EXPECT_TRUE(failed(frontEnd().readConfiguration(broken.dump())));
 }
 
-static http_request makeRequest(const std::string &method, const std::string &path, const std::string &body = {})
+static http_request makeRequest(const std::string &method, const std::string &path, const std::string &body = {});
+
+// One without routes was acknowledged and removed all routes.
+TEST(FrontEnd, RejectsAConfigurationThatLacksAPart)
+{
+    const auto decode
+        = [](const nlohmann::json &document) { return frontEnd().decodeControlRequest(makeRequest("PUT", platform::wire::configPath, document.dump())); };
+    EXPECT_FALSE(failed(decode(makeConfiguration())));
+    for (const char *part : {"version", "routes", "services", "limits"}) {
+        nlohmann::json incomplete = makeConfiguration();
+        incomplete.erase(part);
+        const auto missing = decode(incomplete);
+        ASSERT_TRUE(failed(missing)) << part;
+        EXPECT_NE(errorOf(missing).what.find(part), std::string::npos) << errorOf(missing).what;
+        incomplete[part] = nullptr;
+        EXPECT_TRUE(failed(decode(incomplete))) << part;
+    }
+    const auto alone = decode({{"version", 8}});
+    ASSERT_TRUE(failed(alone));
+    EXPECT_NE(errorOf(alone).what.find("routes"), std::string::npos) << errorOf(alone).what;
+}
+
+// Earlier releases accepted incomplete configurations; one that is in force must still be read after an update.
+TEST(FrontEnd, ReadsAStoredConfigurationThatLacksAPart)
+{
+    nlohmann::json stored = makeConfiguration();
+    stored.erase("limits");
+    EXPECT_FALSE(failed(frontEnd().readConfiguration(stored.dump())));
+}
+
+static http_request makeRequest(const std::string &method, const std::string &path, const std::string &body)
 {
     http_request request;
     request.method = method;
--- a/tests/process/platform_path_test.cpp
+++ b/tests/process/platform_path_test.cpp
@@ -190,6 +190,18 @@
     EXPECT_EQ(nlohmann::json::parse(held.body)["version"], 5);
 }
 
+// Such a configuration was acknowledged and removed all routes.
+TEST_F(PlatformPath, AnIncompleteConfigurationIsRejectedAndChangesNothing)
+{
+    for (const char *part : {"routes", "services", "limits"}) {
+        nlohmann::json incomplete = nlohmann::json::parse(configuration(9));
+        incomplete.erase(part);
+        EXPECT_EQ(put(control(), incomplete.dump()), 400) << part;
+    }
+    EXPECT_EQ(put(control(), "{\"version\":9}"), 400);
+    EXPECT_EQ(call("/records/x").status, 200);
+}
+
 TEST_F(PlatformPath, AZoneThatIsOutGetsNothingUntilItIsTakenBack)
 {
     http_question out;
--- a/tests/process/platform_processes.cpp
+++ b/tests/process/platform_processes.cpp
@@ -102,6 +102,7 @@
                              {"service", "records"},
                              {"attempts", 1}}}},
                           {"services", {{{"name", "records"}, {"maxConns", 100}}}},
+                          {"limits", {{"maxHeaderBytes", 16'384}, {"maxBodyBytes", 4'194'304}}},
                           {"tenants", {{{"name", "firm"}, {"apiKeys", {"key-1"}}}}}}
         .dump();
 }
