Targets and headers are forwarded byte by byte

What callers saw: GET /path? reached the server as GET /path, raw bytes above 0x7f in a path arrived percent-encoded, a fragment was cut off, and a header that is not UTF-8 made a gateway throw while it wrote the rejection.

Cause: requests kept their query but not whether there was one; the target went to libcurl as part of a URL, which it normalizes; the rejection was JSON in strict mode.

--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -160,7 +160,7 @@
     void configure(transfer &one, const http_call &call)
     {
         CURL *easy = one.easy;
-        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        setTarget(easy, call.url);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
@@ -201,6 +201,15 @@
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &one);
     }
 
+    /** libcurl percent-encodes bytes above 0x7f in a URL and drops an empty query; a target of its own goes out as it is. */
+    static void setTarget(CURL *easy, const std::string &url)
+    {
+        const std::size_t scheme = url.find("://");
+        const std::size_t target = url.find('/', scheme == std::string::npos ? 0 : scheme + 3);
+        curl_easy_setopt(easy, CURLOPT_URL, url.substr(0, target).c_str());
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, target == std::string::npos ? "/" : url.c_str() + target);
+    }
+
     /** Called for each connection before the request goes out on it: for a second one when the first, a kept one, was closed without an answer. */
     static int onRequest(void *user, char *, char *, int, int)
     {
--- a/src/ends/http_types.cpp
+++ b/src/ends/http_types.cpp
@@ -43,6 +43,11 @@
     return kept;
 }
 
+std::string http_request::queryPart() const
+{
+    return query.empty() && !hasEmptyQuery ? std::string() : "?" + query;
+}
+
 std::string http_request::header(const std::string &name) const
 {
     const auto found = headers.find(name);
--- a/src/ends/http_types.h
+++ b/src/ends/http_types.h
@@ -26,6 +26,10 @@
     std::string query;
     http_headers headers;
     std::string body;
+    bool hasEmptyQuery = false; /**< The target ends with its question mark. */
+
+    /** What follows the path in the target: the question mark and the query, or an empty string without either. */
+    std::string queryPart() const;
 
     /** Value of the header, or an empty string. */
     std::string header(const std::string &name) const;
--- a/src/ends/request_reader.cpp
+++ b/src/ends/request_reader.cpp
@@ -68,10 +68,10 @@
         bytes.remove_prefix(taken);
         request_read out{std::move(m_request), m_keepAlive};
         out.request.method = http_method_str(static_cast<http_method>(m_parser.method));
-        const std::string target = m_target.substr(0, m_target.find('#'));
-        const std::size_t mark = target.find('?');
-        out.request.path = target.substr(0, mark);
-        out.request.query = mark == std::string::npos ? std::string() : target.substr(mark + 1);
+        const std::size_t mark = m_target.find('?');
+        out.request.path = m_target.substr(0, mark);
+        out.request.query = mark == std::string::npos ? std::string() : m_target.substr(mark + 1);
+        out.request.hasEmptyQuery = mark != std::string::npos && out.request.query.empty();
         out.request.body = m_body.take();
         clear();
         return out;
@@ -106,6 +106,9 @@
     if (m_target.size() + bytes.size() > m_limits.maxHeaderBytes) {
         return refuse(414, "the target is too long");
     }
+    if (bytes.find('#') != std::string_view::npos) {
+        return refuse(400, "the target has a fragment"); // It would not reach the server (RFC 9110, section 4.2.5).
+    }
     m_headerMemory += 2 * bytes.size();
     m_target += bytes;
     return 0;
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -95,8 +95,7 @@
     http_response response = jsonResponse(
         leader.value().empty() ? 503 : 307, encodeError({error_kind::NotLeader, "this control replica is not the leader", "send the request to the leader"}));
     if (!leader.value().empty()) {
-        const std::string query = request.query.empty() ? std::string() : "?" + request.query;
-        response.headers.emplace("Location", "http://" + leader.value() + request.path + query);
+        response.headers.emplace("Location", "http://" + leader.value() + request.path + request.queryPart());
     }
     exchange.respond(response);
 }
--- a/src/tasks/entry_task.cpp
+++ b/src/tasks/entry_task.cpp
@@ -184,7 +184,7 @@
     const std::string rest = request.path.substr(servicesPath.size());
     const std::size_t slash = rest.find('/');
     decoded.service = service_id(rest.substr(0, slash));
-    decoded.path = (slash == std::string::npos ? "/" : rest.substr(slash)) + (request.query.empty() ? "" : "?" + request.query);
+    decoded.path = (slash == std::string::npos ? "/" : rest.substr(slash)) + request.queryPart();
     return {};
 }
 
--- a/tests/ends/http_client_test.cpp
+++ b/tests/ends/http_client_test.cpp
@@ -294,6 +294,22 @@
     }
 }
 
+// An empty query was dropped, and bytes above 0x7f arrived percent-encoded.
+TEST_F(HttpClient, TheTargetIsSentAsItIs)
+{
+    endless_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
+    for (const char *target : {"records/x?", "records/\xc3\xa9\xff?q=\xe9", "a/../b/./c", "%41%zz?a=b?c", "a//b?", "?"}) {
+        http_call call;
+        call.url = server.url() + target;
+        call.timeout = duration(2'000);
+        call_result result;
+        startCall(call, result);
+        runUntil([&] { return result.finished || result.failed; });
+        EXPECT_TRUE(result.finished) << result.why;
+        EXPECT_TRUE(server.lastHead().starts_with("GET /" + std::string(target) + " HTTP/1.1\r\n")) << server.lastHead();
+    }
+}
+
 TEST_F(HttpClient, AHeadThatEndsInTheMiddleIsNoAnswer)
 {
     const std::string whole = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Request: 1\r\nContent-Type: text/event-stream\r\n\r\n";
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -276,6 +276,32 @@
     EXPECT_EQ(out.headers.at("Retry-After"), "0.900");
 }
 
+// A header in another encoding than UTF-8 made the gateway throw while it wrote the rejection.
+TEST(FrontEnd, ARejectionMayQuoteAnyBytes)
+{
+    http_request request = makeCallerRequest();
+    request.headers[platform::wire::deadlineMs] = "\xff\xfe\xe9";
+    const auto decoded = frontEnd().decodeGatewayRequest(request);
+    ASSERT_TRUE(failed(decoded));
+    const http_response out = frontEnd().encodeRejection({request_id(1), 400, errorOf(decoded), run_outcome::DidNotRun, duration(0)}, "\xff");
+    EXPECT_EQ(out.status, 400U);
+    EXPECT_TRUE(nlohmann::json::parse(out.body).contains("error"));
+}
+
+TEST(FrontEnd, ForwardsTheTargetAsItWasSent)
+{
+    http_request request = makeCallerRequest();
+    request.query.clear();
+    call_backend call;
+    call.address = endpoint("10.0.0.1:80");
+    EXPECT_EQ(frontEnd().encodeBackendCall(request, call).url, "http://10.0.0.1:80" + request.path);
+    request.hasEmptyQuery = true;
+    EXPECT_EQ(frontEnd().encodeBackendCall(request, call).url, "http://10.0.0.1:80" + request.path + "?");
+    request.hasEmptyQuery = false;
+    request.query = "a=\xe9";
+    EXPECT_EQ(frontEnd().encodeBackendCall(request, call).url, "http://10.0.0.1:80" + request.path + "?a=\xe9");
+}
+
 TEST(FrontEnd, EncodesOrdersWithFencingToken)
 {
     const http_call out = frontEnd().encodeOrder({order_id(1),
--- a/tests/process/platform_path_test.cpp
+++ b/tests/process/platform_path_test.cpp
@@ -149,6 +149,19 @@
         return ask(question(path, key));
     }
 
+    /** Sends these bytes to the gateway; what comes back until it closes the connection. */
+    std::string exchange(const std::string &bytes) const
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect(asio::ip::tcp::endpoint(asio::ip::make_address(net() + "2"), 8227));
+        asio::write(socket, asio::buffer(bytes));
+        std::string answer;
+        std::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(answer), ended);
+        return answer;
+    }
+
     std::atomic<int> m_requests = 0;
     std::unique_ptr<child> m_core;
     std::unique_ptr<child> m_front;
@@ -202,6 +215,20 @@
     EXPECT_EQ(call("/records/x").status, 200);
 }
 
+// An empty query was dropped, and bytes above 0x7f were percent-encoded. A header that is not UTF-8 ended the gateway's handler.
+TEST_F(PlatformPath, BytesOfARequestReachTheServerAsTheyWereSent)
+{
+    const std::string target = "/records/\xc3\xa9\xff?";
+    const std::string start = " HTTP/1.1\r\nHost: ledger.example\r\nAuthorization: Token key-1\r\nContent-Length: 0\r\nConnection: close\r\n";
+    EXPECT_TRUE(exchange("POST " + target + start + "X-Carawayloft-Request-Id: b1\r\nX-Other: \xff\xe9\r\n\r\n").starts_with("HTTP/1.1 200"));
+    const http_request asked = m_server->asked().back();
+    EXPECT_EQ(asked.path + asked.queryPart(), target);
+    EXPECT_EQ(asked.header("X-Other"), "\xff\xe9");
+    EXPECT_TRUE(
+        exchange("POST /records/x" + start + "X-Carawayloft-Request-Id: b2\r\nX-Carawayloft-Deadline-Ms: \xff\xe9\r\n\r\n").starts_with("HTTP/1.1 400"));
+    EXPECT_EQ(call("/records/x").status, 200);
+}
+
 TEST_F(PlatformPath, AZoneThatIsOutGetsNothingUntilItIsTakenBack)
 {
     http_question out;
