--- a/src/gateway_pipe/gateway_pipe.cpp
+++ b/src/gateway_pipe/gateway_pipe.cpp
@@ -37,7 +37,10 @@
 std::vector<gateway_pipe::output> gateway_pipe::step(const input &in, time_point now)
 {
     m_now = now;
-    m_startedAt = m_startedAt == time_point() ? now : m_startedAt;
+    if (m_startedAt == time_point()) {
+        m_startedAt = now;
+        m_limiter.setStartedAt(now);
+    }
     m_out.clear();
     std::visit([this](const auto &each) { handle(each); }, in);
     if (m_stopping && !m_drainedReported && m_activeRequests.empty()) {
@@ -312,6 +315,11 @@
         context.lastFailure = "the time limit of the request has expired";
         if (context.call.value() != 0) {
             emit(cancel_call{context.call});
+            // An answer that has begun and does not end; a shorter call may have come too late for a whole one.
+            if (context.headReceived && m_now >= context.sentAt + context.route->objective) {
+                recordOutcome(context, true);
+                recordForm(context, true);
+            }
             endCall(context);
         }
         giveUp(context);
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -59,7 +59,37 @@
     EXPECT_TRUE(failed(frontEnd().readConfiguration(broken.dump())));
 }
 
-static http_request makeRequest(const std::string &method, const std::string &path, const std::string &body = {})
+static http_request makeRequest(const std::string &method, const std::string &path, const std::string &body = {});
+
+// One without routes was acknowledged and removed all routes.
+TEST(FrontEnd, RejectsAConfigurationThatLacksAPart)
+{
+    const auto decode
+        = [](const nlohmann::json &document) { return frontEnd().decodeControlRequest(makeRequest("PUT", platform::wire::configPath, document.dump())); };
+    EXPECT_FALSE(failed(decode(makeConfiguration())));
+    for (const char *part : {"version", "routes", "services", "limits"}) {
+        nlohmann::json incomplete = makeConfiguration();
+        incomplete.erase(part);
+        const auto missing = decode(incomplete);
+        ASSERT_TRUE(failed(missing)) << part;
+        EXPECT_NE(errorOf(missing).what.find(part), std::string::npos) << errorOf(missing).what;
+        incomplete[part] = nullptr;
+        EXPECT_TRUE(failed(decode(incomplete))) << part;
+    }
+    const auto alone = decode({{"version", 8}});
+    ASSERT_TRUE(failed(alone));
+    EXPECT_NE(errorOf(alone).what.find("routes"), std::string::npos) << errorOf(alone).what;
+}
+
+// Earlier releases accepted incomplete configurations; one that is in force must still be read after an update.
+TEST(FrontEnd, ReadsAStoredConfigurationThatLacksAPart)
+{
+    nlohmann::json stored = makeConfiguration();
+    stored.erase("limits");
+    EXPECT_FALSE(failed(frontEnd().readConfiguration(stored.dump())));
+}
+
+static http_request makeRequest(const std::string &method, const std::string &path, const std::string &body)
 {
     http_request request;
     request.method = method;
@@ -246,6 +276,32 @@
     EXPECT_EQ(out.headers.at("Retry-After"), "0.900");
 }
 
+// A header in another encoding than UTF-8 made the gateway throw while it wrote the rejection.
+TEST(FrontEnd, ARejectionMayQuoteAnyBytes)
+{
+    http_request request = makeCallerRequest();
+    request.headers[platform::wire::deadlineMs] = "\xff\xfe\xe9";
+    const auto decoded = frontEnd().decodeGatewayRequest(request);
+    ASSERT_TRUE(failed(decoded));
+    const http_response out = frontEnd().encodeRejection({request_id(1), 400, errorOf(decoded), run_outcome::DidNotRun, duration(0)}, "\xff");
+    EXPECT_EQ(out.status, 400U);
+    EXPECT_TRUE(nlohmann::json::parse(out.body).contains("error"));
+}
+
+TEST(FrontEnd, ForwardsTheTargetAsItWasSent)
+{
+    http_request request = makeCallerRequest();
+    request.query.clear();
+    call_backend call;
+    call.address = endpoint("10.0.0.1:80");
+    EXPECT_EQ(frontEnd().encodeBackendCall(request, call).url, "http://10.0.0.1:80" + request.path);
+    request.hasEmptyQuery = true;
+    EXPECT_EQ(frontEnd().encodeBackendCall(request, call).url, "http://10.0.0.1:80" + request.path + "?");
+    request.hasEmptyQuery = false;
+    request.query = "a=\xe9";
+    EXPECT_EQ(frontEnd().encodeBackendCall(request, call).url, "http://10.0.0.1:80" + request.path + "?a=\xe9");
+}
+
 TEST(FrontEnd, EncodesOrdersWithFencingToken)
 {
     const http_call out = frontEnd().encodeOrder({order_id(1),
