The plan of groups uses the average learned capacity and weighs regroupings

What callers saw: the plan used published figures while groups answered 0.6 to 1.1 of them on time, and groups were closed for others after one second of gain, although their servers serve nothing while they join (0.2 to 16 s).

Cause: the learned factor was not passed to fleet_utility, since it changes within seconds, and rebalancing did not compare a gain with the time that the demand lasts.

Where the factor is 1 the plan is the same, exactly; what is delayed is only closing groups in favour of others.

--- a/include/carawayloft/fleet/fleet_utility.h
+++ b/include/carawayloft/fleet/fleet_utility.h
@@ -3,6 +3,7 @@
 #include <carawayloft/fleet/fleet_composition.h>
 #include <carawayloft/fleet/fleet_traffic.h>
 #include <carawayloft/fleet/group_goodput.h>
+#include <carawayloft/fleet/plan_capacity.h>
 
 #include <compare>
 #include <vector>
@@ -16,8 +17,12 @@
 class fleet_utility
 {
 public:
-    /** @p engine must outlive this object. */
-    fleet_utility(const engine_profile &engine, const fleet_traffic &traffic);
+    /**
+     * @p engine must outlive this object.
+     *
+     * @param capacities What the groups of a model take, over what the published figures promise; 1 for models without an entry.
+     */
+    fleet_utility(const engine_profile &engine, const fleet_traffic &traffic, const capacity_factors &capacities = {});
 
     /** Work expected in time, plus a bonus for the worst-served model, minus a penalty for models with traffic and no group. */
     double of(const fleet_composition &fleet) const;
@@ -46,6 +51,7 @@
     /** Demand for a model, and what numbers of groups make of it. */
     struct model_demand {
         double requestsPerSecond = 0.0;
+        double capacityFactor = 1.0;
         double work = 0.0; /**< Busy group-seconds per second. */
         group_goodput goodput;
         double outageWithSpare = 0.0; /**< Fraction of the time that a group is out, if its domain has a spare. */
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -6,6 +6,8 @@
 #include <carawayloft/fleet/engine_order.h>
 #include <carawayloft/fleet/group_closure.h>
 #include <carawayloft/fleet/model_allocation.h>
+#include <carawayloft/fleet/plan_capacity.h>
+#include <carawayloft/fleet/regrouping_balance.h>
 
 #include <deque>
 #include <optional>
@@ -169,6 +171,14 @@
     };
     using domain_pools = std::map<fabric_domain_id, domain_pool>;
 
+    /** Groups of one domain to close, so that groups of another model are formed of their members. */
+    struct regrouping {
+        regrouping_direction direction;
+        std::vector<group_epoch> closed;
+        double gain = 0.0; /**< Utility after it over that of the groups as they are, less the disturbance. */
+        double cost = 0.0; /**< Utility lost while the members join, added up over that time. */
+    };
+
     /** Servers of one fabric domain that came recently; more may follow. */
     struct domain_arrivals {
         std::size_t known = 0; /**< Servers at the last look. */
@@ -232,6 +242,7 @@
     const managed_group *findGroup(const backend_id &backend) const;
     bool isFree(const backend_registry::entry &entry) const;
     void formGroup(const service_settings &service, const planned_group &chosen);
+    void averageCapacities();
     fleet_utility makeUtility(const service_settings &service) const;
     fleet_composition compose(const service_settings &service, const domain_pools &pools) const;
     const fleet_plan &planFor(const service_settings &service, const fleet_utility &utility, const domain_pools &pools);
@@ -240,8 +251,13 @@
 
     // Rebalancing.
     void rebalance(const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, domain_pools pools, const fleet_plan &plan);
-    std::vector<group_epoch> bestRegrouping(
+    std::vector<regrouping> possibleRegroupings(
         const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const domain_pools &pools, const fleet_plan &plan) const;
+    std::vector<regrouping> regroupingsOf(const service_settings &service,
+                                          const fleet_utility &utility,
+                                          const fleet_composition &fleet,
+                                          const std::pair<const fabric_domain_id, domain_pool> &domain,
+                                          const group_counts &planned) const;
     std::vector<group_epoch>
     groupsToFree(const service_settings &service, const fabric_domain_id &domain, const model_profile &from, const model_profile &to, domain_pool &pool) const;
     bool isClosingIn(const fabric_domain_id &domain) const;
@@ -290,6 +306,8 @@
     std::map<group_epoch, time_point> m_unadoptedSince;
     std::map<service_id, fleet_plan> m_plans;
     std::map<service_id, time_point> m_plannedAt;
+    plan_capacity m_planCapacity;
+    std::map<service_id, regrouping_balance> m_regroupings;
     std::map<fabric_domain_id, domain_arrivals> m_arrivals;
     time_point m_rebalancedAt;
     std::vector<group_epoch> m_surplusGroups; /**< Groups whose members have more utility in other groups. */
--- a/src/fleet_pipe/fleet_utility.cpp
+++ b/src/fleet_pipe/fleet_utility.cpp
@@ -30,14 +30,16 @@
     return std::min(maxOutage, model.hostsPerGroup * serverLossesPerSecond * repairTime.count());
 }
 
-fleet_utility::fleet_utility(const engine_profile &engine, const fleet_traffic &traffic)
+fleet_utility::fleet_utility(const engine_profile &engine, const fleet_traffic &traffic, const capacity_factors &capacities)
     : m_engine(&engine)
 {
     for (const model_profile &each : engine.models) {
         const auto found = traffic.find(each.model);
         const model_traffic observed = found == traffic.end() ? model_traffic{} : found->second;
         const engine_duration request = requestTime(engine, each, observed.promptTokens, observed.answerTokens);
-        model_demand demand{observed.requestsPerSecond, 0.0, group_goodput(engine, each, observed), 0.0, 0.0, {}, {}};
+        const auto capacity = capacities.find(each.model);
+        const double factor = capacity == capacities.end() ? 1.0 : capacity->second;
+        model_demand demand{observed.requestsPerSecond, factor, 0.0, group_goodput(engine, each, observed), 0.0, 0.0, {}, {}};
         demand.work = demand.requestsPerSecond * (request / engine_duration(std::chrono::seconds(1)));
         demand.outageWithSpare = groupOutage(each, repairTimeWithSpare);
         demand.outageWithoutSpare = groupOutage(each, repairTimeWithoutSpare);
@@ -53,8 +55,8 @@
         return 1.0;
     }
     while (demand.shares.size() <= groups) {
-        const auto count = static_cast<double>(demand.shares.size());
-        demand.shares.push_back(demand.shares.empty() ? 0.0 : demand.goodput.onTimeShare(demand.requestsPerSecond / count));
+        const double capacity = static_cast<double>(demand.shares.size()) * demand.capacityFactor;
+        demand.shares.push_back(demand.shares.empty() ? 0.0 : demand.goodput.onTimeShare(demand.requestsPerSecond / capacity));
     }
     return demand.shares[groups];
 }
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -48,6 +48,8 @@
     m_recentLoads.clear();
     m_rebalancedAt = m_now;
     m_plans.clear();
+    m_planCapacity = {};
+    m_regroupings.clear();
     m_arrivals.clear();
     m_beganAt = m_now;
     m_removalProposedAt.clear();
@@ -124,6 +126,7 @@
         return;
     }
     m_context.emplace(in.context);
+    averageCapacities();
     m_closure.observe(m_context->registry);
     adoptReportedGroups();
     adoptRecordedGroups();
--- a/src/fleet_pipe/group_controller_formation.cpp
+++ b/src/fleet_pipe/group_controller_formation.cpp
@@ -33,6 +33,15 @@
 /** Objective for the first event that is assumed before any traffic is observed. */
 static constexpr engine_duration priorObjective{300};
 
+void group_controller::averageCapacities()
+{
+    capacity_factors learned;
+    for (const auto &[model, estimate] : m_context->capacities) {
+        learned[model] = estimate.factor();
+    }
+    m_planCapacity.record(learned, m_now);
+}
+
 /** Builds the utility from the observed traffic, mixed with the configured shares as long as that is incomplete. */
 fleet_utility group_controller::makeUtility(const service_settings &service) const
 {
@@ -61,7 +70,7 @@
             = (1.0 - observedWeight) * prior + observedWeight * (observed == m_context->modelTraffic.end() ? 0.0 : observed->second.requestsPerSecond);
         traffic[each.model] = mixed;
     }
-    return {engine, traffic};
+    return {engine, traffic, m_planCapacity.factors()};
 }
 
 /** The groups that serve or are being formed, by the fabric domain of their head. */
--- a/src/fleet_pipe/group_controller_rebalancing.cpp
+++ b/src/fleet_pipe/group_controller_rebalancing.cpp
@@ -16,9 +16,18 @@
 /** Minimum time between two such changes. */
 static constexpr duration rebalanceInterval{2'000};
 
+/** Least time that servers take to join a group. */
+static constexpr engine_duration minJoinTime{200};
+
 /** Standbys that will be ready within this time count as spares. */
 static constexpr duration upcomingSpareWindow{2'500};
 
+/** Time for which servers that come from groups of another model serve nothing. Their hosts have the weights staged. */
+static double joinSecondsOf(const model_profile &model)
+{
+    return std::chrono::duration<double>(std::max(minJoinTime, model.warmLoadTime)).count();
+}
+
 bool group_controller::isClosingIn(const fabric_domain_id &domain) const
 {
     return std::any_of(
@@ -71,46 +80,68 @@
     return pool.readyCount(to.model) >= to.hostsPerGroup ? freed : std::vector<group_epoch>();
 }
 
-/** Groups of one fabric domain to close so that others formed of their members give the fleet the highest utility; empty if none is worth it. */
-std::vector<group_epoch> group_controller::bestRegrouping(
-    const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const domain_pools &pools, const fleet_plan &plan) const
+/** The regroupings that are possible in one domain, at most one for each pair of models. */
+std::vector<group_controller::regrouping> group_controller::regroupingsOf(const service_settings &service,
+                                                                          const fleet_utility &utility,
+                                                                          const fleet_composition &fleet,
+                                                                          const std::pair<const fabric_domain_id, domain_pool> &domain,
+                                                                          const group_counts &planned) const
 {
     const std::vector<model_profile> &models = service.engine->models;
-    std::vector<group_epoch> best;
-    double bestGain = 0.0;
-    for (const auto &[domain, pool] : pools) {
-        if (isClosingIn(domain)) {
+    const auto &[id, pool] = domain;
+    fleet_composition unchanged = fleet;
+    domain_pool spares = pool;
+    formDomainGroups(utility, unchanged, id, spares, planned);
+    const double unchangedUtility = utility.of(unchanged);
+    std::vector<regrouping> possible;
+    for (std::size_t from = 0; from < models.size(); ++from) {
+        for (std::size_t to = 0; to < models.size(); ++to) {
+            if (from == to) {
+                continue;
+            }
+            domain_pool freed = pool;
+            std::vector<group_epoch> closed = groupsToFree(service, id, models[from], models[to], freed);
+            if (closed.empty()) {
+                continue;
+            }
+            fleet_composition closing = unchanged;
+            closing.at(id).groups[from] -= closed.size();
+            const double lostPerSecond = std::max(0.0, unchangedUtility - utility.of(closing));
+            fleet_composition after = fleet;
+            after.at(id).groups[from] -= closed.size();
+            formDomainGroups(utility, after, id, freed, planned);
+            const double gain = utility.of(after) - unchangedUtility - minGainPerClosedGroup * static_cast<double>(closed.size());
+            possible.push_back({{models[from].model, models[to].model}, std::move(closed), gain, lostPerSecond * joinSecondsOf(models[to])});
+        }
+    }
+    return possible;
+}
+
+/** The possible regrouping of the highest utility for each pair of models. */
+std::vector<group_controller::regrouping> group_controller::possibleRegroupings(
+    const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, const domain_pools &pools, const fleet_plan &plan) const
+{
+    std::map<regrouping_direction, regrouping> best;
+    for (const auto &each : pools) {
+        if (isClosingIn(each.first)) {
             continue;
         }
-        fleet_composition unchanged = fleet;
-        domain_pool spares = pool;
-        formDomainGroups(utility, unchanged, domain, spares, plan.at(domain).groups);
-        const double unchangedUtility = utility.of(unchanged);
-        for (std::size_t from = 0; from < models.size(); ++from) {
-            for (std::size_t to = 0; to < models.size(); ++to) {
-                if (from == to) {
-                    continue;
-                }
-                domain_pool freed = pool;
-                const std::vector<group_epoch> closed = groupsToFree(service, domain, models[from], models[to], freed);
-                if (closed.empty()) {
-                    continue;
-                }
-                fleet_composition after = fleet;
-                after.at(domain).groups[from] -= closed.size();
-                formDomainGroups(utility, after, domain, freed, plan.at(domain).groups);
-                const double gain = utility.of(after) - unchangedUtility - minGainPerClosedGroup * static_cast<double>(closed.size());
-                if (gain > bestGain) {
-                    bestGain = gain;
-                    best = closed;
-                }
+        for (regrouping &possible : regroupingsOf(service, utility, fleet, each, plan.at(each.first).groups)) {
+            const auto [found, isNew] = best.try_emplace(possible.direction, possible);
+            if (!isNew && possible.gain > found->second.gain) {
+                found->second = std::move(possible);
             }
         }
     }
-    return best;
+    std::vector<regrouping> out;
+    out.reserve(best.size());
+    for (auto &[direction, each] : best) {
+        out.push_back(std::move(each));
+    }
+    return out;
 }
 
-/** Closes groups when their members and the spares of their domain have more utility in groups of another model. */
+/** Closes groups when their members and the spares of their domain have more utility in groups of another model, and for long enough. */
 void group_controller::rebalance(
     const service_settings &service, const fleet_utility &utility, const fleet_composition &fleet, domain_pools pools, const fleet_plan &plan)
 {
@@ -118,16 +149,27 @@
         return;
     }
     addUpcomingSpares(service, pools);
-    const std::vector<group_epoch> surplus = bestRegrouping(service, utility, fleet, pools, plan);
-    if (surplus != m_surplusGroups) {
-        m_surplusGroups = surplus;
+    const std::vector<regrouping> possible = possibleRegroupings(service, utility, fleet, pools, plan);
+    regrouping_balance &balance = m_regroupings[service.service];
+    std::vector<regrouping_gain> gains;
+    regrouping best;
+    for (const regrouping &each : possible) {
+        gains.push_back({each.direction, each.gain});
+        if (each.gain > best.gain) {
+            best = each;
+        }
+    }
+    balance.record(gains, m_now);
+    if (best.closed != m_surplusGroups) {
+        m_surplusGroups = best.closed;
         m_surplusSince = m_now;
     }
-    if (surplus.empty() || m_now < m_surplusSince + rebalanceDelay) {
+    if (best.closed.empty() || m_now < m_surplusSince + rebalanceDelay || !balance.isWorth(best.direction, best.cost, m_now)) {
         return;
     }
     m_rebalancedAt = m_now;
-    for (const group_epoch &each : surplus) {
+    balance.regrouped(best.direction, m_now);
+    for (const group_epoch &each : best.closed) {
         close(m_groups.at(each), false, "rebalancing: its members have more utility in other groups");
     }
 }
--- a/tests/fleet/model_allocation_test.cpp
+++ b/tests/fleet/model_allocation_test.cpp
@@ -54,6 +54,32 @@
     EXPECT_DOUBLE_EQ(utility.of(oneDomain({2, 0})), utility.of(oneDomain({2, 2})));
 }
 
+// Guards against a plan that changes although the learned capacity is the published one.
+TEST(FleetUtility, IsUnchangedWhereTheCapacityIsThePublishedOne)
+{
+    const engine_profile engine = makeEngine(4, 3);
+    const fleet_utility published(engine, traffic(60.0, 30.0));
+    const fleet_utility learned(engine, traffic(60.0, 30.0), {{largeModel, 1.0}, {smallModel, 1.0}});
+    const std::map<fabric_domain_id, std::size_t> domains{{domain, 22}, {fabric_domain_id("d1"), 17}};
+    const fleet_plan plan = planFleet(published, domains);
+    const fleet_plan same = planFleet(learned, domains);
+    for (const auto &[id, servers] : domains) {
+        EXPECT_EQ(plan.at(id).groups, same.at(id).groups);
+        EXPECT_EQ(plan.at(id).servers, same.at(id).servers);
+    }
+    EXPECT_EQ(published.of(oneDomain({2, 3})), learned.of(oneDomain({2, 3})));
+}
+
+// Guards against a plan by figures that the groups of one model do not reach.
+TEST(FleetUtility, AModelWithLessCapacityIsServedLessByTheSameGroups)
+{
+    const engine_profile engine = makeEngine(4, 3);
+    const fleet_utility published(engine, traffic(60.0, 30.0));
+    const fleet_utility learned(engine, traffic(60.0, 30.0), {{largeModel, 0.5}});
+    EXPECT_DOUBLE_EQ(learned.onTimeFraction(largeModel, 4), published.onTimeFraction(largeModel, 2));
+    EXPECT_DOUBLE_EQ(learned.onTimeFraction(smallModel, 4), published.onTimeFraction(smallModel, 4));
+}
+
 TEST(FleetUtility, ASpareAddsMoreTheMoreALostGroupCosts)
 {
     const engine_profile engine = makeEngine(4, 3);
