--- a/src/fleet_pipe/plan_capacity.cpp
+++ b/src/fleet_pipe/plan_capacity.cpp
@@ -5,7 +5,7 @@
 
 namespace carawayloft {
 
-/** Time constant of the averages. A wave of the demand with a period of 13 s moves them by less than a tenth of its amplitude. */
+/** Time constant of the averages: demand that rises and falls within some seconds moves them by a small part of its amplitude. */
 static constexpr std::chrono::duration<double> averagingTime{30.0};
 
 void plan_capacity::record(const capacity_factors &learned, time_point now)
--- a/src/fleet_pipe/regrouping_balance.cpp
+++ b/src/fleet_pipe/regrouping_balance.cpp
@@ -11,7 +11,7 @@
 /** Time for which a regrouping counts as recent, several periods of a wave of the demand. */
 static constexpr duration reversalMemory{60'000};
 
-/** Time for which the gain of undoing a recent regrouping must last: longer than half of a wave with a period of 13 s. */
+/** Time for which the gain of undoing a recent regrouping must last: demand that rises and falls with a period below twice that never shows it. */
 static constexpr duration reversalDelay{10'000};
 
 void regrouping_balance::record(const std::vector<regrouping_gain> &gains, time_point now)
