--- a/review/kit_2.cpp
+++ b/review/kit_2.cpp
@@ -13,6 +13,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -26,6 +27,7 @@
 static constexpr int readyPort = 8220;
 static constexpr int workerPort = 8080;
 static constexpr milliseconds heartbeat{1'200};
+static constexpr int coreMemoryMb = 256;
 
 const char *const tannbokBounds = "bounds.contactWindowMs=4000\nbounds.drainMs=2500\nbounds.configMs=2500\nbounds.budgetSlack=242\nbounds.recoverS=15\n"
                                   "tolerate.machines=2\n";
@@ -284,6 +286,7 @@
     if (m_pid != 0) {
         return;
     }
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with this process, also where that is killed.
     const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
@@ -331,24 +334,34 @@
     , m_more(more)
     , m_replicaCount(replicas)
 {
-    static constexpr std::size_t frontDescriptors = 4'100;
-    static constexpr std::size_t coreDescriptors = 4'096;
-    static constexpr int coreMemoryMb = 256;
     std::filesystem::create_directories(m_folder);
-    const auto start = [&](const std::string &role, int number, int memoryMb, std::size_t descriptors) {
-        const std::string name = role + "-" + std::to_string(number);
-        const std::string file = m_folder + "/" + name + ".conf";
-        std::ofstream(file) << settings(name, role, number, memoryMb);
-        return std::make_unique<process>(file, m_folder + "/" + name + ".log", descriptors);
-    };
     for (int i = 0; i < replicas; ++i) {
-        m_replicas.push_back(start("core", i, coreMemoryMb, coreDescriptors));
+        m_replicas.push_back(start("core", i, coreMemoryMb, true));
     }
     for (int i = 0; i < gateways; ++i) {
-        m_gateways.push_back(start("front", i, frontMemoryMb, frontDescriptors));
+        m_gateways.push_back(start("front", i, frontMemoryMb, true));
     }
 }
 
+std::unique_ptr<process> deployment::start(const std::string &role, int number, int memoryMb, bool isFirst) const
+{
+    static constexpr std::size_t frontDescriptors = 4'100;
+    static constexpr std::size_t coreDescriptors = 4'096;
+    const std::string name = role + "-" + std::to_string(number);
+    const std::string file = m_folder + "/" + name + ".conf";
+    std::ofstream(file) << settings(name, role, number, memoryMb, isFirst);
+    return std::make_unique<process>(file, m_folder + "/" + name + ".log", role == "core" ? coreDescriptors : frontDescriptors);
+}
+
+bool deployment::revive(int replica)
+{
+    if (m_replicas.at(replica)->isRunning()) {
+        return false;
+    }
+    m_replicas.at(replica) = start("core", replica, coreMemoryMb, false);
+    return true;
+}
+
 deployment::~deployment()
 {
     m_gateways.clear();
@@ -360,7 +373,7 @@
     std::filesystem::remove_all(m_folder);
 }
 
-std::string deployment::settings(const std::string &name, const std::string &role, int number, int memoryMb) const
+std::string deployment::settings(const std::string &name, const std::string &role, int number, int memoryMb, bool isFirst) const
 {
     const std::string ip = host(role == "core" ? 1 + number : 11 + number);
     std::string seeds;
@@ -369,7 +382,7 @@
     }
     std::string out = "nodeName=" + name + "\nrole=" + role + "\nmachineClass=" + role + "\nip=" + ip
                       + "\nzone=mid-a\nregion=midlands\nzones.mid-a=midlands\ninternalPortRange=7340,7355\nseeds=" + seeds
-                      + "\nbootstrap=true\nlimits.cores=1\nlimits.memoryMb=" + std::to_string(memoryMb)
+                      + "\nbootstrap=" + (isFirst ? "true" : "false") + "\nlimits.cores=1\nlimits.memoryMb=" + std::to_string(memoryMb)
                       + "\ndiscovery=registry\nentry=vip\nheartbeatMs=1200\ntolerate.machines=1\ntolerate.zones=1\n"
                         "bounds.contactWindowMs=3000\nbounds.drainMs=2000\nbounds.graceS=8\nbounds.lostSlackMs=200\nbounds.configMs=2000\n"
                         "bounds.revokeMs=5000\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\nbounds.budgetSlack=196\n"
--- a/review/kit_2.h
+++ b/review/kit_2.h
@@ -141,6 +141,9 @@
         return *m_replicas.at(number);
     }
 
+    /** Starts a control replica that has ended again, as the platform does; returns whether it had ended. */
+    bool revive(int replica);
+
     /** Sends an order to any replica until it has a clear answer; the status, zero without one. */
     int order(const std::string &method, const std::string &path, const std::string &body, milliseconds limit) const;
 
@@ -150,7 +153,8 @@
     bool configure(const std::string &configuration) const;
 
 private:
-    std::string settings(const std::string &name, const std::string &role, int number, int memoryMb) const;
+    std::string settings(const std::string &name, const std::string &role, int number, int memoryMb, bool isFirst) const;
+    std::unique_ptr<process> start(const std::string &role, int number, int memoryMb, bool isFirst) const;
 
     std::string m_net;
     std::string m_folder;
