--- a/review/kit_2.cpp
+++ b/review/kit_2.cpp
@@ -481,11 +481,12 @@
     return true;
 }
 
-worker::worker(const deployment &system, std::string service, int number, handler handle)
+worker::worker(const deployment &system, std::string service, int number, handler handle, std::string fields)
     : m_system(system)
     , m_service(std::move(service))
     , m_number(number)
     , m_handle(std::move(handle))
+    , m_fields(std::move(fields))
 {
     openPort();
     m_accepting = std::thread([this] { accept(); });
@@ -516,6 +517,13 @@
     return "i-" + std::to_string(m_number) + "-" + std::to_string(m_life);
 }
 
+void worker::setFields(const std::string &fields)
+{
+    const std::lock_guard lock(m_lock);
+    m_fields = fields;
+    m_hasNews = true;
+}
+
 bool worker::openPort()
 {
     const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
@@ -622,16 +630,20 @@
             born[life] = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
             sequence = 0;
         }
+        std::unique_lock lock(m_lock);
+        const std::string fields = m_fields;
+        m_hasNews = false;
+        lock.unlock();
         const std::string body = "{\"service\":\"" + m_service + "\",\"address\":\"" + m_system.host(101 + m_number) + ":" + std::to_string(workerPort)
                                  + "\",\"zone\":\"mid-a\",\"version\":\"v1\",\"slots\":48,\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":"
-                                 + std::to_string(++sequence) + ",\"born\":" + std::to_string(born[life]) + "}";
+                                 + std::to_string(++sequence) + ",\"born\":" + std::to_string(born[life]) + fields + "}";
         bool accepted = false;
         for (const std::string &each : m_system.controls()) {
             accepted = accepted || call(each, "PUT", "/-/instances/i-" + std::to_string(m_number) + "-" + std::to_string(life), body) == 200;
         }
         announced = accepted ? life : announced;
         const milliseconds until = elapsed() + (accepted ? heartbeat : milliseconds(100));
-        while (!m_stopping && elapsed() < until && (m_life == announced || !accepted)) {
+        while (!m_stopping && elapsed() < until && !m_hasNews && (m_life == announced || !accepted)) {
             pause(milliseconds(10));
         }
     }
--- a/review/kit_2.h
+++ b/review/kit_2.h
@@ -171,13 +171,16 @@
     /** Answers one request; returns whether the channel is kept. */
     using handler = std::function<bool(channel &, const message &)>;
 
-    worker(const deployment &system, std::string service, int number, handler handle);
+    worker(const deployment &system, std::string service, int number, handler handle, std::string fields = {});
     ~worker();
     worker(const worker &) = delete;
     worker &operator=(const worker &) = delete;
 
     std::string id() const;
 
+    /** Fields that check-ins have beside those of a plain worker, from one on that is sent at once; they begin with a comma. */
+    void setFields(const std::string &fields);
+
     /** Ends all channels with a reset and comes back under another id after @p downTime. */
     void crash(milliseconds downTime);
 
@@ -201,6 +204,8 @@
     std::atomic<int> m_serving = 0;
     std::mutex m_lock;
     std::vector<int> m_sockets;
+    std::string m_fields;
+    std::atomic<bool> m_hasNews = false;
     std::thread m_accepting;
     std::thread m_announcing;
 };
