Review: a valid config with a model that has no share yet ends every leader (Fault)

Case 7, a script. A change of the config adds a service whose one model has the share 0; two sound workers of it check in. The share of nothing is no number, no composition is best, and the planner reads behind the end of an empty vector.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A gateway gets SIGTERM while clients read their answers slowly. TROUBLE=0: without SIGTERM.
+# A change of the configuration adds a service whose model has no share of the work at the start. TROUBLE=0: its share is 1.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/carawayloft_platform ] && [ -x target/review-2/slow_reader ] || exit 2
-exec timeout -k 5 110 target/review-2/slow_reader review/7/record.txt
+[ -x target/carawayloft_platform ] && [ -x target/review-2/no_share_yet ] || exit 2
+exec timeout -k 5 110 target/review-2/no_share_yet review/7/record.txt
