HTTP client: an answer without a status that is one fails the call

What callers saw: answers with a status over 599 came through as they were, so did answers with "200OK", "HTTP/2 200", "HTTP/2.0 200" or "http/1.1 200" as their first line, as 200. A change of protocol that nobody had asked for (101) was reported as the head of the answer.

Cause: the client left the first line to libcurl, which takes any three digits from 100 on, and takes a first line that it cannot read for that of a 200 if it begins with "HTTP/".

Change: answer_reader decides what the head of an answer is, without a socket, from the lines that libcurl passes on. The status line is that of HTTP/1.0 or 1.1 with a status from 100 to 599 other than 101. After a fault the callback takes no bytes, so libcurl ends the call and closes its connection, nothing of the head is reported, and http_failed says what was malformed.

The server of http_client_test.cpp moved to tests/support, unchanged but for a count of connections.

--- a/include/carawayloft/core/error.h
+++ b/include/carawayloft/core/error.h
@@ -34,6 +34,7 @@
     VersionMismatch,
     Quarantined,
     UnknownQuarantine,
+    MalformedAnswer,
 };
 
 /** An error as operators and callers read it: what failed, and what they can do about it. */
--- a/include/carawayloft/core/http_status.h
+++ b/include/carawayloft/core/http_status.h
@@ -5,7 +5,9 @@
 /** HTTP status codes (RFC 9110, RFC 6585) that decisions depend on. */
 namespace carawayloft::http_status {
 
-inline constexpr std::uint32_t ok = 200;
+inline constexpr std::uint32_t lowest = 100;
+inline constexpr std::uint32_t switchingProtocols = 101;
+inline constexpr std::uint32_t ok = 200; /**< Lowest code of a final answer; those below it are informational (1xx). */
 inline constexpr std::uint32_t unauthorized = 401;
 inline constexpr std::uint32_t notFound = 404;
 inline constexpr std::uint32_t requestTimeout = 408;
@@ -15,5 +17,18 @@
 inline constexpr std::uint32_t badGateway = 502;
 inline constexpr std::uint32_t serviceUnavailable = 503;
 inline constexpr std::uint32_t gatewayTimeout = 504;
+inline constexpr std::uint32_t highest = 599;
+
+/** Whether @p status is one of a final answer. */
+constexpr bool isFinal(std::uint32_t status)
+{
+    return status >= ok && status <= highest;
+}
+
+/** Whether @p status is one of an answer that another one follows. */
+constexpr bool isInformational(std::uint32_t status)
+{
+    return status >= lowest && status < ok && status != switchingProtocols;
+}
 
 } // namespace carawayloft::http_status
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -59,6 +59,8 @@
         return "quarantined";
     case error_kind::UnknownQuarantine:
         return "unknown_quarantine";
+    case error_kind::MalformedAnswer:
+        return "malformed_answer";
     }
     return "unknown";
 }
--- /dev/null
+++ b/src/ends/answer_head.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "ends/http_types.h"
+
+#include <cstdint>
+
+namespace carawayloft {
+
+/** The head of an answer, as it may be believed. */
+struct answer_head {
+    std::uint32_t status = 0;
+    http_headers headers;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/answer_head_reader.cpp
@@ -0,0 +1,81 @@
+#include "ends/answer_head_reader.h"
+
+#include "ends/http_field.h"
+
+#include <carawayloft/core/http_status.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace carawayloft {
+
+static constexpr std::size_t statusDigits = 3;
+
+static bool isDigit(char byte)
+{
+    return byte >= '0' && byte <= '9';
+}
+
+std::optional<answer_fault> answer_head_reader::addLine(std::string_view line)
+{
+    line = withoutLineEnd(line);
+    if (m_phase == phase::StatusLine) {
+        return readStatusLine(line);
+    }
+    if (line.empty()) {
+        endHead();
+    } else {
+        readField(line);
+    }
+    return std::nullopt;
+}
+
+std::optional<answer_fault> answer_head_reader::readStatusLine(std::string_view line)
+{
+    static constexpr std::string_view http10 = "HTTP/1.0 ";
+    static constexpr std::string_view http11 = "HTTP/1.1 ";
+    if (!line.starts_with(http10) && !line.starts_with(http11)) {
+        return answer_fault::StatusLine;
+    }
+    line.remove_prefix(http11.size());
+    const std::string_view digits = line.substr(0, statusDigits);
+    const std::string_view reason = line.substr(digits.size());
+    const bool isNumber = digits.size() == statusDigits && std::all_of(digits.begin(), digits.end(), isDigit);
+    // Many servers leave out the blank before an empty reason.
+    if (!isNumber || !(reason.empty() || reason.starts_with(' ')) || !isFieldValue(reason)) {
+        return answer_fault::StatusLine;
+    }
+    std::from_chars(digits.data(), digits.data() + digits.size(), m_head.status);
+    if (!http_status::isFinal(m_head.status) && !http_status::isInformational(m_head.status)) {
+        return answer_fault::StatusLine;
+    }
+    m_phase = phase::Fields;
+    return std::nullopt;
+}
+
+void answer_head_reader::readField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return;
+    }
+    while (line.ends_with(' ')) {
+        line.remove_suffix(1);
+    }
+    const std::size_t value = std::min(line.find_first_not_of(' ', colon + 1), line.size());
+    // Several lines with one name are one list (RFC 9110, section 5.3).
+    const auto [known, isNew] = m_head.headers.emplace(line.substr(0, colon), line.substr(value));
+    known->second += isNew ? std::string() : ", " + std::string(line.substr(value));
+}
+
+void answer_head_reader::endHead()
+{
+    if (http_status::isInformational(m_head.status)) {
+        m_head = {};
+        m_phase = phase::StatusLine;
+        return;
+    }
+    m_phase = phase::Complete;
+}
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/answer_head_reader.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "ends/answer_fault.h"
+#include "ends/answer_head.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace carawayloft {
+
+/**
+ * Decides what the head of an answer is, for every reader of answers (RFC 9112, section 4). Heads of
+ * informational answers are read like others and dropped.
+ */
+class answer_head_reader
+{
+public:
+    answer_head_reader() = default;
+
+    answer_head_reader(const answer_head_reader &) = delete;
+    answer_head_reader &operator=(const answer_head_reader &) = delete;
+
+    /** Takes the next line with its line end. After a fault nothing of the head may be used. */
+    std::optional<answer_fault> addLine(std::string_view line);
+
+    /** Whether the empty line behind the head of the answer itself, not of an informational one, has come. */
+    bool isComplete() const
+    {
+        return m_phase == phase::Complete;
+    }
+
+    /** The head; to be used once it is complete. */
+    const answer_head &head() const
+    {
+        return m_head;
+    }
+
+private:
+    enum class phase : std::uint8_t {
+        StatusLine,
+        Fields,
+        Complete,
+    };
+
+    std::optional<answer_fault> readStatusLine(std::string_view line);
+    void readField(std::string_view line);
+    void endHead();
+
+    phase m_phase = phase::StatusLine;
+    answer_head m_head;
+};
+
+} // namespace carawayloft
--- /dev/null
+++ b/src/ends/answer_reader.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "ends/answer_fault.h"
+#include "ends/answer_head_reader.h"
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace carawayloft {
+
+/**
+ * Reads one answer from the lines of its heads and decides whether it is one. No socket: the one who has the connection passes on
+ * all that comes, and closes the connection after a fault.
+ */
+class answer_reader
+{
+public:
+    /** More bytes of heads, informational ones and trailers included, are a fault. */
+    static constexpr std::size_t maxHeadBytes = std::size_t{64} << 10U;
+
+    /** Takes the next line of a head with its line end. After a fault nothing of the answer may be used. */
+    std::optional<answer_fault> addHeadLine(std::string_view line);
+
+    bool hasHead() const
+    {
+        return m_headReader.isComplete();
+    }
+
+    /** The head; to be used once it has come. */
+    const answer_head &head() const
+    {
+        return m_headReader.head();
+    }
+
+private:
+    answer_head_reader m_headReader;
+    std::size_t m_headBytes = 0;
+};
+
+} // namespace carawayloft
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -1,6 +1,6 @@
 #include "ends/http_client.h"
 
-#include <carawayloft/core/http_status.h>
+#include "ends/answer_reader.h"
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -21,22 +21,30 @@
 
 /** One call under way. */
 struct transfer {
+    explicit transfer(const http_call &call)
+        : body(call.body)
+        , maxBodyBytes(call.maxBodyBytes)
+    {
+    }
+
     http_call_id id;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     std::string body;
     http_client::handler handle;
-    http_headers received;
-    std::size_t headBytes = 0;
+    answer_reader reader;
     std::size_t bodyBytes = 0;
     std::size_t maxBodyBytes = 0;
     const char *failure = nullptr; /**< Why this end broke the call off. */
-    bool headComplete = false; /**< The empty line behind the head of the answer itself, not of an informational one, has come. */
+    std::optional<answer_fault> malformed; /**< The same, if what came is no answer. */
     bool started = false;
     bool paused = false;
     bool issued = false; /**< A connection was there and the request went out on it, or tried to. */
     bool resendRefused = false; /**< libcurl wanted to send the request again, on another connection. */
 
+    transfer(const transfer &) = delete;
+    transfer &operator=(const transfer &) = delete;
+
     ~transfer()
     {
         curl_slist_free_all(headers);
@@ -100,11 +108,9 @@
 
     http_call_id start(const http_call &call, handler handle)
     {
-        auto one = std::make_shared<transfer>();
+        auto one = std::make_shared<transfer>(call);
         one->id = m_next = carawayloft::next(m_next);
         one->easy = curl_easy_init();
-        one->body = call.body;
-        one->maxBodyBytes = call.maxBodyBytes;
         one->handle = std::move(handle);
         configure(*one, call);
         m_transfers.emplace(one->id, one);
@@ -176,6 +182,8 @@
         curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &one);
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &impl::onRequest);
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, &one);
+        // libcurl passes over what is no chunk size, so the chunks are read here; it still finds their end.
+        curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &impl::onHeader);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &one);
         if (!one.body.empty() || call.method == "POST" || call.method == "PUT") {
@@ -234,41 +242,18 @@
         return CURL_SOCKOPT_OK;
     }
 
-    static std::size_t onHeader(const char *bytes, std::size_t size, std::size_t count, void *user)
+    /** Breaks the call off: libcurl closes the connection of a call whose bytes are not taken. */
+    static std::size_t reject(transfer &one, answer_fault fault)
     {
-        auto &one = *static_cast<transfer *>(user);
-        std::string_view line(bytes, size * count);
-        one.headBytes += line.size();
-        if (one.headBytes > maxHeadBytes) {
-            one.failure = "the head of the answer is too long";
-            return 0;
-        }
-        if (line.starts_with("HTTP/")) {
-            one.received.clear();
-            return size * count;
-        }
-        if (line == "\r\n" || line == "\n") {
-            one.headComplete = statusOf(one) >= http_status::ok;
-            return size * count;
-        }
-        while (!line.empty() && (line.back() == '\r' || line.back() == '\n' || line.back() == ' ')) {
-            line.remove_suffix(1);
-        }
-        const std::size_t colon = line.find(':');
-        if (colon != std::string_view::npos) {
-            const std::size_t value = std::min(line.find_first_not_of(' ', colon + 1), line.size());
-            // Several lines with one name are one list (RFC 9110, section 5.3).
-            const auto [known, isNew] = one.received.emplace(line.substr(0, colon), line.substr(value));
-            known->second += isNew ? std::string() : ", " + std::string(line.substr(value));
-        }
-        return size * count;
+        one.malformed = fault;
+        return 0;
     }
 
-    static std::uint32_t statusOf(const transfer &one)
+    static std::size_t onHeader(const char *bytes, std::size_t size, std::size_t count, void *user)
     {
-        long status = 0;
-        curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
-        return static_cast<std::uint32_t>(status);
+        auto &one = *static_cast<transfer *>(user);
+        const auto fault = one.reader.addHeadLine({bytes, size * count});
+        return fault ? reject(one, *fault) : size * count;
     }
 
     static void reportStart(transfer &one)
@@ -277,11 +262,11 @@
             return;
         }
         one.started = true;
-        const char *contentType = nullptr;
-        curl_easy_getinfo(one.easy, CURLINFO_CONTENT_TYPE, &contentType);
         long newConnections = 0;
         curl_easy_getinfo(one.easy, CURLINFO_NUM_CONNECTS, &newConnections);
-        one.handle(http_started{statusOf(one), contentType == nullptr ? "" : contentType, std::move(one.received), newConnections == 0});
+        const answer_head &head = one.reader.head();
+        const auto contentType = head.headers.find("Content-Type");
+        one.handle(http_started{head.status, contentType == head.headers.end() ? std::string() : contentType->second, head.headers, newConnections == 0});
     }
 
     static std::size_t onBytes(const char *bytes, std::size_t size, std::size_t count, void *user)
@@ -397,25 +382,41 @@
         }
         const std::shared_ptr<transfer> one = found->second;
         m_transfers.erase(found);
-        // libcurl takes a head that ends with its connection for a whole one without a body.
-        const bool headCut = code == CURLE_OK && !one->headComplete;
-        if (code == CURLE_OK && !headCut) {
+        if (code == CURLE_OK && one->reader.hasHead()) {
             reportStart(*one);
             one->handle(http_finished{});
             return;
         }
+        one->handle(failureOf(*one, code));
+    }
+
+    /** Why a call has failed; @p code is CURLE_OK if libcurl took an answer that is cut off for a whole one. */
+    static http_failed failureOf(const transfer &one, CURLcode code)
+    {
         long sentBytes = 0;
-        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
-        const bool neverSent = sentBytes == 0 && !one->started;
-        const char *failure = one->failure == nullptr ? curl_easy_strerror(code) : one->failure;
-        if (one->resendRefused) {
+        curl_easy_getinfo(one.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+        const bool neverSent = sentBytes == 0 && !one.started;
+        const std::optional<answer_fault> malformed = one.malformed || neverSent ? one.malformed : faultOf(code);
+        if (malformed) {
+            return {{error_kind::MalformedAnswer, describe(*malformed), "check the server there"}, neverSent, false, malformed};
+        }
+        const bool isCut = code == CURLE_OK;
+        const char *failure = one.failure == nullptr ? curl_easy_strerror(code) : one.failure;
+        if (one.resendRefused) {
             failure = "the kept connection was closed";
         }
-        if (headCut) {
+        if (isCut) {
             failure = "the connection ended inside the head of the answer";
         }
-        const bool closedByServer = headCut || (!neverSent && one->failure == nullptr && (one->resendRefused || isClosedByServer(easy, code)));
-        one->handle(http_failed{{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent, closedByServer});
+        const bool closedByServer = isCut || (!neverSent && one.failure == nullptr && (one.resendRefused || isClosedByServer(one.easy, code)));
+        return {{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent, closedByServer, std::nullopt};
+    }
+
+    /** What libcurl itself found to be no answer; the lines that it rejects are not passed on. */
+    static std::optional<answer_fault> faultOf(CURLcode code)
+    {
+        const bool isRejected = code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY;
+        return isRejected ? std::optional(answer_fault::Unreadable) : std::nullopt;
     }
 
     /** Whether the other end closed or reset the connection, rather than falling silent. */
--- a/src/ends/http_client.h
+++ b/src/ends/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ends/answer_fault.h"
 #include "ends/http_types.h"
 
 #include <carawayloft/core/strong_type.h>
@@ -9,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace carawayloft {
 
@@ -40,6 +42,7 @@
     error why;
     bool neverSent = false; /**< No byte of the call was sent, so the server cannot have seen it. */
     bool closedByServer = false; /**< The server, or its host, ended the connection in the middle of the call. */
+    std::optional<answer_fault> malformed{}; /**< Why what the server sent is no answer; nothing for other failures. */
 };
 
 using http_event = std::variant<http_started, http_received, http_finished, http_failed>;
@@ -47,14 +50,12 @@
 
 /**
  * HTTP calls by libcurl on its owner's io_context, without a thread of its own. A call is sent at most once: where a kept
- * connection turns out to be closed, the call fails and its owner decides.
+ * connection turns out to be closed, the call fails and its owner decides. What is no answer fails the call, closes its
+ * connection, and is not reported.
  */
 class http_client
 {
 public:
-    /** A longer head of an answer, informational ones and trailers included, fails the call. */
-    static constexpr std::size_t maxHeadBytes = std::size_t{64} << 10U;
-
     using handler = std::function<void(http_event)>;
 
     static std::unique_ptr<http_client> create(asio::io_context &context);
--- a/tests/ends/http_client_test.cpp
+++ b/tests/ends/http_client_test.cpp
@@ -1,136 +1,14 @@
 #include "ends/http_client.h"
 
-#include <asio/connect.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/read_until.hpp>
-#include <asio/steady_timer.hpp>
-#include <asio/streambuf.hpp>
-#include <asio/write.hpp>
+#include "support/raw_answer_server.h"
 
 #include <gtest/gtest.h>
 
 using namespace carawayloft;
+using namespace carawayloft::test_support;
 
 namespace {
 
-/** A server on the loopback interface that answers every request with the same bytes, then repeats others until the caller closes. */
-class endless_server
-{
-public:
-    endless_server(asio::io_context &context, std::string answer, std::string repeated)
-        : m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , m_answer(std::move(answer))
-        , m_repeated(std::move(repeated))
-    {
-        accept();
-    }
-
-    std::string url() const
-    {
-        return "http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()) + "/";
-    }
-
-    bool isClosed() const
-    {
-        return m_isClosed;
-    }
-
-    /** Requests that came, whether they were answered or not. */
-    std::size_t requests() const
-    {
-        return m_requests;
-    }
-
-    /** The head of the last request. */
-    const std::string &lastHead() const
-    {
-        return m_lastHead;
-    }
-
-    /** Closes the connection of the next request instead of an answer. */
-    void closeAtNextRequest()
-    {
-        m_closesNext = true;
-    }
-
-    /** Closes each connection behind the answer. */
-    void closeAfterAnswers()
-    {
-        m_closesAfterAnswers = true;
-    }
-
-private:
-    struct connection {
-        explicit connection(asio::ip::tcp::socket accepted)
-            : socket(std::move(accepted))
-        {
-        }
-
-        asio::ip::tcp::socket socket;
-        asio::streambuf request;
-    };
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](const std::error_code &failure, asio::ip::tcp::socket socket) {
-            if (!failure) {
-                serve(std::make_shared<connection>(std::move(socket)));
-                accept();
-            }
-        });
-    }
-
-    void serve(const std::shared_ptr<connection> &one)
-    {
-        asio::async_read_until(one->socket, one->request, "\r\n\r\n", [this, one](const std::error_code &failure, std::size_t size) {
-            if (!failure) {
-                const auto *bytes = static_cast<const char *>(one->request.data().data());
-                m_lastHead.assign(bytes, size);
-                one->request.consume(one->request.size());
-                ++m_requests;
-                answer(one);
-            }
-        });
-    }
-
-    void answer(const std::shared_ptr<connection> &one)
-    {
-        if (std::exchange(m_closesNext, false)) {
-            return;
-        }
-        std::error_code failure;
-        asio::write(one->socket, asio::buffer(m_answer), failure);
-        if (m_closesAfterAnswers) {
-            return;
-        }
-        if (m_repeated.empty()) {
-            serve(one);
-        } else {
-            repeat(one);
-        }
-    }
-
-    void repeat(const std::shared_ptr<connection> &one)
-    {
-        asio::async_write(one->socket, asio::buffer(m_repeated), [this, one](const std::error_code &failure, std::size_t) {
-            if (failure) {
-                m_isClosed = true;
-            } else {
-                repeat(one);
-            }
-        });
-    }
-
-    asio::ip::tcp::acceptor m_acceptor;
-    std::string m_answer;
-    std::string m_repeated;
-    std::size_t m_requests = 0;
-    std::string m_lastHead;
-    bool m_closesNext = false;
-    bool m_closesAfterAnswers = false;
-    bool m_isClosed = false;
-};
-
 struct call_result {
     bool started = false;
     bool finished = false;
@@ -175,7 +53,7 @@
     /** Calls a server that never ends its answer, and expects the call to fail and the connection to be closed before the timeout. */
     void expectAbandoned(const std::string &answer, const std::string &repeated, std::size_t maxBodyBytes)
     {
-        endless_server server(context, answer, repeated);
+        raw_answer_server server(context, answer, repeated);
         http_call call;
         call.url = server.url();
         call.timeout = std::chrono::duration_cast<duration>(2 * patience);
@@ -235,7 +113,7 @@
 
 TEST_F(HttpClient, BytesAfterACompleteAnswerEndTheConnection)
 {
-    endless_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", manyBytes);
+    raw_answer_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", manyBytes);
     http_call call;
     call.url = server.url();
     call_result result;
@@ -250,7 +128,7 @@
 TEST_F(HttpClient, ACallOnADeadConnectionFailsAndIsNotSentAgain)
 {
     for (const char *method : {"GET", "POST"}) {
-        endless_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
+        raw_answer_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
         http_call call;
         call.method = method;
         call.url = server.url();
@@ -279,7 +157,7 @@
 // A connection that the server closed while it was idle must not cost the caller its request.
 TEST_F(HttpClient, ACallAfterAnIdleConnectionWasClosedUsesANewOne)
 {
-    endless_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
+    raw_answer_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
     server.closeAfterAnswers();
     for (std::size_t i = 1; i <= 5; ++i) {
         http_call call;
@@ -297,7 +175,7 @@
 // An empty query was dropped, and bytes above 0x7f arrived percent-encoded.
 TEST_F(HttpClient, TheTargetIsSentAsItIs)
 {
-    endless_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
+    raw_answer_server server(context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {});
     for (const char *target : {"records/x?", "records/\xc3\xa9\xff?q=\xe9", "a/../b/./c", "%41%zz?a=b?c", "a//b?", "?"}) {
         http_call call;
         call.url = server.url() + target;
@@ -314,7 +192,7 @@
 {
     const std::string whole = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Request: 1\r\nContent-Type: text/event-stream\r\n\r\n";
     for (std::size_t length = 1; length < whole.size(); ++length) {
-        endless_server server(context, whole.substr(0, length), {});
+        raw_answer_server server(context, whole.substr(0, length), {});
         server.closeAfterAnswers();
         http_call call;
         call.url = server.url();
@@ -330,7 +208,7 @@
 
 TEST_F(HttpClient, AnAnswerWithoutLengthEndsWithItsConnection)
 {
-    endless_server server(context, "HTTP/1.1 200 OK\r\n\r\n", {});
+    raw_answer_server server(context, "HTTP/1.1 200 OK\r\n\r\n", {});
     server.closeAfterAnswers();
     http_call call;
     call.url = server.url();
--- /dev/null
+++ b/tests/ends/malformed_answers_test.cpp
@@ -0,0 +1,93 @@
+#include "ends/http_client.h"
+#include "support/malformed_answer.h"
+#include "support/raw_answer_server.h"
+
+#include <gtest/gtest.h>
+
+using namespace carawayloft;
+using namespace carawayloft::test_support;
+
+namespace {
+
+struct call_outcome {
+    std::optional<http_started> head;
+    std::string body;
+    bool finished = false;
+    std::optional<http_failed> failure;
+};
+
+/** Calls to servers whose answers are not HTTP, or are HTTP in a rare form. */
+class HttpAnswers : public ::testing::Test
+{
+protected:
+    call_outcome call(raw_answer_server &server, const std::string &method = "GET")
+    {
+        http_call what;
+        what.method = method;
+        what.url = server.url();
+        what.timeout = timeLimit;
+        call_outcome out;
+        client->start(what, [&out](http_event event) {
+            if (auto *started = std::get_if<http_started>(&event)) {
+                out.head = std::move(*started);
+            } else if (const auto *received = std::get_if<http_received>(&event)) {
+                out.body += received->bytes;
+            } else if (const auto *failure = std::get_if<http_failed>(&event)) {
+                out.failure = *failure;
+            } else {
+                out.finished = true;
+            }
+        });
+        const auto until = std::chrono::steady_clock::now() + timeLimit * 2;
+        while (!out.finished && !out.failure && std::chrono::steady_clock::now() < until) {
+            context.run_one_for(std::chrono::milliseconds(50));
+        }
+        return out;
+    }
+
+    /** Expects that calls with these answers fail; @p beforeHead before anything of the head is reported. */
+    void expectRejected(const std::vector<named_answer> &answers, bool beforeHead)
+    {
+        for (const named_answer &each : answers) {
+            for (const bool closes : {false, true}) {
+                expectRejected(each, beforeHead, closes);
+            }
+        }
+    }
+
+    void expectRejected(const named_answer &answer, bool beforeHead, bool closes)
+    {
+        SCOPED_TRACE(answer.name + (closes ? ", the server closes" : ", the server keeps the connection"));
+        raw_answer_server server(context, answer.bytes, {});
+        if (closes) {
+            server.closeAfterAnswers();
+        }
+        const call_outcome out = call(server);
+        EXPECT_FALSE(out.finished);
+        ASSERT_TRUE(out.failure);
+        EXPECT_FALSE(out.failure->neverSent);
+        if (beforeHead) {
+            EXPECT_FALSE(out.head) << "status " << out.head->status;
+        }
+        EXPECT_EQ(server.requests(), 1U);
+        call(server);
+        EXPECT_EQ(server.connections(), 2U) << "the connection was used again";
+    }
+
+    static constexpr duration timeLimit{2'000};
+
+    asio::io_context context;
+    std::unique_ptr<http_client> client = http_client::create(context);
+};
+
+} // namespace
+
+TEST_F(HttpAnswers, WithAStatusBelow100Fail)
+{
+    expectRejected(answersWithStatusBelow100(), true);
+}
+
+TEST_F(HttpAnswers, WithoutAStatusFail)
+{
+    expectRejected(answersWithoutStatus(), true);
+}
