HTTP client: a field whose name is no token fails the call

What callers saw: a 200 with the line of such a field as the server had sent it: names with a blank or a control byte, empty ones, and others that are no tokens. Where the broken name was that of the length ("Content Length: 2", "Content-Length : 2") they got the seal of the server and a body that was not the server's, framed as whole. Also in events, below a sound status, and with the broken name in an informational head.

Cause: the client split each line at its first colon and took what stood before it for a name; libcurl asks only that there is a colon.

Change: parseField() decides what a field is: a token, at once followed by a colon (RFC 9112, section 5.1). The section lets a proxy remove a blank before the colon; here the head is rejected as a whole, since such a head comes from a server in trouble. A folded line is still the end of the value before it, but not where nothing stands before it, or where it reads as a field of its own: that is a name with a blank to one reader and a value to the next.

--- a/src/ends/answer_fault.h
+++ b/src/ends/answer_fault.h
@@ -7,6 +7,7 @@
 /** What makes bytes of a server no answer in HTTP/1.1 (RFC 9112) that can be believed. */
 enum class answer_fault : std::uint8_t {
     StatusLine, /**< No status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599, or a change of protocol. */
+    FieldName, /**< A field without a name that is a token. */
     TooLong, /**< More bytes of heads, or of trailers, than are read. */
     Unreadable, /**< Rejected by libcurl. */
 };
@@ -17,6 +18,8 @@
     switch (fault) {
     case answer_fault::StatusLine:
         return "status_line";
+    case answer_fault::FieldName:
+        return "field_name";
     case answer_fault::TooLong:
         return "too_long";
     case answer_fault::Unreadable:
@@ -31,6 +34,8 @@
     switch (fault) {
     case answer_fault::StatusLine:
         return "the status line of the answer is malformed";
+    case answer_fault::FieldName:
+        return "a field name in the head of the answer is malformed";
     case answer_fault::TooLong:
         return "the head of the answer is too long";
     case answer_fault::Unreadable:
--- a/src/ends/answer_head_reader.cpp
+++ b/src/ends/answer_head_reader.cpp
@@ -9,6 +9,7 @@
 
 namespace carawayloft {
 
+static constexpr std::string_view blanks = " \t";
 static constexpr std::size_t statusDigits = 3;
 
 static bool isDigit(char byte)
@@ -16,17 +17,24 @@
     return byte >= '0' && byte <= '9';
 }
 
+/** Whether a folded line would be a field without the blanks before it. Readers differ in what they take it for. */
+static bool resemblesField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view name = withoutBlanks(line.substr(0, colon));
+    return colon != std::string_view::npos && (name.empty() || isToken(name));
+}
+
 std::optional<answer_fault> answer_head_reader::addLine(std::string_view line)
 {
     line = withoutLineEnd(line);
     if (m_phase == phase::StatusLine) {
         return readStatusLine(line);
     }
-    if (line.empty()) {
-        endHead();
-    } else {
-        readField(line);
+    if (!line.empty()) {
+        return readField(line);
     }
+    endHead();
     return std::nullopt;
 }
 
@@ -53,25 +61,35 @@
     return std::nullopt;
 }
 
-void answer_head_reader::readField(std::string_view line)
+std::optional<answer_fault> answer_head_reader::readField(std::string_view line)
 {
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos) {
-        return;
+    if (blanks.find(line.front()) != std::string_view::npos) {
+        return readFoldedLine(line);
     }
-    while (line.ends_with(' ')) {
-        line.remove_suffix(1);
+    const std::variant<http_field, answer_fault> parsed = parseField(line);
+    if (const auto *fault = std::get_if<answer_fault>(&parsed)) {
+        return *fault;
     }
-    const std::size_t value = std::min(line.find_first_not_of(' ', colon + 1), line.size());
-    // Several lines with one name are one list (RFC 9110, section 5.3).
-    const auto [known, isNew] = m_head.headers.emplace(line.substr(0, colon), line.substr(value));
-    known->second += isNew ? std::string() : ", " + std::string(line.substr(value));
+    const http_field &field = std::get<http_field>(parsed);
+    const auto [known, isNew] = m_head.headers.emplace(field.name, field.value);
+    if (!isNew) {
+        known->second.append(", ").append(field.value); // Several lines with one name are one list (RFC 9110, section 5.3).
+    }
+    m_hasField = true;
+    return std::nullopt;
+}
+
+/** A line that begins with a blank goes on with the value of the field before it (RFC 9112, section 5.2); it is dropped. */
+std::optional<answer_fault> answer_head_reader::readFoldedLine(std::string_view line)
+{
+    return !m_hasField || resemblesField(line) ? std::optional(answer_fault::FieldName) : std::nullopt;
 }
 
 void answer_head_reader::endHead()
 {
     if (http_status::isInformational(m_head.status)) {
         m_head = {};
+        m_hasField = false;
         m_phase = phase::StatusLine;
         return;
     }
--- a/src/ends/answer_head_reader.h
+++ b/src/ends/answer_head_reader.h
@@ -10,7 +10,7 @@
 namespace carawayloft {
 
 /**
- * Decides what the head of an answer is, for every reader of answers (RFC 9112, section 4). Heads of
+ * Decides what the head of an answer is, for every reader of answers (RFC 9112, sections 4 and 5). Heads of
  * informational answers are read like others and dropped.
  */
 class answer_head_reader
@@ -44,10 +44,12 @@
     };
 
     std::optional<answer_fault> readStatusLine(std::string_view line);
-    void readField(std::string_view line);
+    std::optional<answer_fault> readField(std::string_view line);
+    std::optional<answer_fault> readFoldedLine(std::string_view line);
     void endHead();
 
     phase m_phase = phase::StatusLine;
+    bool m_hasField = false;
     answer_head m_head;
 };
 
--- a/src/ends/http_field.cpp
+++ b/src/ends/http_field.cpp
@@ -4,13 +4,27 @@
 
 namespace carawayloft {
 
+static constexpr std::string_view blanks = " \t";
 static constexpr unsigned char deleteByte = 0x7f;
 
+static bool isTokenByte(unsigned char byte)
+{
+    static constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    const bool isDigit = byte >= '0' && byte <= '9';
+    const bool isLetter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+    return isDigit || isLetter || punctuation.find(static_cast<char>(byte)) != std::string_view::npos;
+}
+
 static bool isValueByte(unsigned char byte)
 {
     return byte == '\t' || (byte >= ' ' && byte != deleteByte);
 }
 
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenByte);
+}
+
 bool isFieldValue(std::string_view text)
 {
     return std::all_of(text.begin(), text.end(), isValueByte);
@@ -27,4 +41,22 @@
     return line;
 }
 
+std::string_view withoutBlanks(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(blanks);
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(blanks) + 1 - begin);
+}
+
+std::variant<http_field, answer_fault> parseField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
+        return answer_fault::FieldName;
+    }
+    return http_field{line.substr(0, colon), withoutBlanks(line.substr(colon + 1))};
+}
+
 } // namespace carawayloft
--- a/tests/ends/answer_reader_test.cpp
+++ b/tests/ends/answer_reader_test.cpp
@@ -49,3 +49,8 @@
     expectFault(answersWithStatusBelow100(), answer_fault::StatusLine);
     expectFault(answersWithoutStatus(), answer_fault::StatusLine);
 }
+
+TEST(AnswerReader, RejectsFieldNamesThatAreNoTokens)
+{
+    expectFault(answersWithBrokenNames(), answer_fault::FieldName);
+}
--- a/tests/ends/malformed_answers_test.cpp
+++ b/tests/ends/malformed_answers_test.cpp
@@ -91,3 +91,8 @@
 {
     expectRejected(answersWithoutStatus(), true);
 }
+
+TEST_F(HttpAnswers, WithFieldNamesThatAreNoTokensFail)
+{
+    expectRejected(answersWithBrokenNames(), true);
+}
