HTTP client: a control byte in the value of a field fails the call

What callers saw: a 200 with control bytes in a field's value, as the server had sent them, a return among them.

Cause: values were cut out of their lines and not looked at; a folded line was a line without a name, and dropped.

Change: a value holds no control byte but tabs (RFC 9110, section 5.5: a return or NUL is to be rejected or replaced; other control bytes may be kept, which nobody here needs). Bytes above 0x7f stay as they are.

--- a/src/ends/answer_fault.h
+++ b/src/ends/answer_fault.h
@@ -8,6 +8,7 @@
 enum class answer_fault : std::uint8_t {
     StatusLine, /**< No status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599, or a change of protocol. */
     FieldName, /**< A field without a name that is a token. */
+    FieldValue, /**< A control byte in the value of a field. */
     TooLong, /**< More bytes of heads, or of trailers, than are read. */
     Unreadable, /**< Rejected by libcurl. */
 };
@@ -20,6 +21,8 @@
         return "status_line";
     case answer_fault::FieldName:
         return "field_name";
+    case answer_fault::FieldValue:
+        return "field_value";
     case answer_fault::TooLong:
         return "too_long";
     case answer_fault::Unreadable:
@@ -36,6 +39,8 @@
         return "the status line of the answer is malformed";
     case answer_fault::FieldName:
         return "a field name in the head of the answer is malformed";
+    case answer_fault::FieldValue:
+        return "a field value in the head of the answer is malformed";
     case answer_fault::TooLong:
         return "the head of the answer is too long";
     case answer_fault::Unreadable:
--- a/src/ends/answer_head_reader.cpp
+++ b/src/ends/answer_head_reader.cpp
@@ -75,21 +75,28 @@
     if (!isNew) {
         known->second.append(", ").append(field.value); // Several lines with one name are one list (RFC 9110, section 5.3).
     }
-    m_hasField = true;
+    m_lastName = known->first;
     return std::nullopt;
 }
 
-/** A line that begins with a blank goes on with the value of the field before it (RFC 9112, section 5.2); it is dropped. */
+/** A line that begins with a blank goes on with the value of the field before it (RFC 9112, section 5.2). */
 std::optional<answer_fault> answer_head_reader::readFoldedLine(std::string_view line)
 {
-    return !m_hasField || resemblesField(line) ? std::optional(answer_fault::FieldName) : std::nullopt;
+    if (m_lastName.empty() || resemblesField(line)) {
+        return answer_fault::FieldName;
+    }
+    if (!isFieldValue(line)) {
+        return answer_fault::FieldValue;
+    }
+    m_head.headers[m_lastName].append(" ").append(withoutBlanks(line));
+    return std::nullopt;
 }
 
 void answer_head_reader::endHead()
 {
     if (http_status::isInformational(m_head.status)) {
         m_head = {};
-        m_hasField = false;
+        m_lastName.clear();
         m_phase = phase::StatusLine;
         return;
     }
--- a/src/ends/answer_head_reader.h
+++ b/src/ends/answer_head_reader.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace carawayloft {
@@ -49,7 +50,7 @@
     void endHead();
 
     phase m_phase = phase::StatusLine;
-    bool m_hasField = false;
+    std::string m_lastName; /**< Of the field that a folded line goes on with; empty before the first one. */
     answer_head m_head;
 };
 
--- a/src/ends/http_field.cpp
+++ b/src/ends/http_field.cpp
@@ -56,7 +56,11 @@
     if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
         return answer_fault::FieldName;
     }
-    return http_field{line.substr(0, colon), withoutBlanks(line.substr(colon + 1))};
+    const std::string_view value = line.substr(colon + 1);
+    if (!isFieldValue(value)) {
+        return answer_fault::FieldValue;
+    }
+    return http_field{line.substr(0, colon), withoutBlanks(value)};
 }
 
 } // namespace carawayloft
--- a/tests/ends/answer_reader_test.cpp
+++ b/tests/ends/answer_reader_test.cpp
@@ -54,3 +54,8 @@
 {
     expectFault(answersWithBrokenNames(), answer_fault::FieldName);
 }
+
+TEST(AnswerReader, RejectsControlBytesInValues)
+{
+    expectFault(answersWithBrokenValues(), answer_fault::FieldValue);
+}
--- a/tests/ends/malformed_answers_test.cpp
+++ b/tests/ends/malformed_answers_test.cpp
@@ -96,3 +96,8 @@
 {
     expectRejected(answersWithBrokenNames(), true);
 }
+
+TEST_F(HttpAnswers, WithControlBytesInValuesFail)
+{
+    expectRejected(answersWithBrokenValues(), true);
+}
