HTTP client: a head that states no usable length of the body fails the call

What callers saw: a 200 with the seal of the server and a shorter or an empty body, framed as whole, where the server had sent two lengths, a length that is no number ("2x", "2, 3", "0x2"), a length and chunks, a coding in HTTP/1.0, a folded coding, or a coding that is none. Lengths over 63 bits were read until the connection closed.

Cause: the framing was libcurl's alone, which takes the digits that a length begins with, the last of several lengths, and any list of codings it knows.

Change: readFraming() says how a body is delimited, or that the head does not say (RFC 9112, sections 6.1 to 6.3; RFC 9110, section 8.6): one length of digits alone, which may stand there several times; or chunks as the only coding, in HTTP/1.1, without a length; neither below 200 or with 204, but for a length of zero. What passes is read by libcurl in the same way, and the client checks at the end that a body has its length. Folded lines of these two fields are rejected, since libcurl does not join them.

--- a/include/carawayloft/core/http_status.h
+++ b/include/carawayloft/core/http_status.h
@@ -8,6 +8,8 @@
 inline constexpr std::uint32_t lowest = 100;
 inline constexpr std::uint32_t switchingProtocols = 101;
 inline constexpr std::uint32_t ok = 200; /**< Lowest code of a final answer; those below it are informational (1xx). */
+inline constexpr std::uint32_t noContent = 204;
+inline constexpr std::uint32_t notModified = 304;
 inline constexpr std::uint32_t unauthorized = 401;
 inline constexpr std::uint32_t notFound = 404;
 inline constexpr std::uint32_t requestTimeout = 408;
@@ -25,6 +27,12 @@
     return status >= ok && status <= highest;
 }
 
+/** Whether answers with @p status never have a body. */
+constexpr bool hasNoBody(std::uint32_t status)
+{
+    return status < ok || status == noContent || status == notModified;
+}
+
 /** Whether @p status is one of an answer that another one follows. */
 constexpr bool isInformational(std::uint32_t status)
 {
--- a/src/ends/answer_fault.h
+++ b/src/ends/answer_fault.h
@@ -9,6 +9,7 @@
     StatusLine, /**< No status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599, or a change of protocol. */
     FieldName, /**< A field without a name that is a token. */
     FieldValue, /**< A control byte in the value of a field. */
+    Framing, /**< The head states no usable length of the body, or several. */
     TooLong, /**< More bytes of heads, or of trailers, than are read. */
     Unreadable, /**< Rejected by libcurl. */
 };
@@ -23,6 +24,8 @@
         return "field_name";
     case answer_fault::FieldValue:
         return "field_value";
+    case answer_fault::Framing:
+        return "framing";
     case answer_fault::TooLong:
         return "too_long";
     case answer_fault::Unreadable:
@@ -41,6 +44,8 @@
         return "a field name in the head of the answer is malformed";
     case answer_fault::FieldValue:
         return "a field value in the head of the answer is malformed";
+    case answer_fault::Framing:
+        return "the head of the answer states no usable length of the body";
     case answer_fault::TooLong:
         return "the head of the answer is too long";
     case answer_fault::Unreadable:
--- a/src/ends/answer_head.h
+++ b/src/ends/answer_head.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ends/body_framing.h"
 #include "ends/http_types.h"
 
 #include <cstdint>
@@ -10,6 +11,7 @@
 struct answer_head {
     std::uint32_t status = 0;
     http_headers headers;
+    body_framing framing;
 };
 
 } // namespace carawayloft
--- a/src/ends/answer_head_reader.cpp
+++ b/src/ends/answer_head_reader.cpp
@@ -25,24 +25,26 @@
     return colon != std::string_view::npos && (name.empty() || isToken(name));
 }
 
+answer_head_reader::answer_head_reader(bool answersHead)
+    : m_answersHead(answersHead)
+{
+}
+
 std::optional<answer_fault> answer_head_reader::addLine(std::string_view line)
 {
     line = withoutLineEnd(line);
     if (m_phase == phase::StatusLine) {
         return readStatusLine(line);
     }
-    if (!line.empty()) {
-        return readField(line);
-    }
-    endHead();
-    return std::nullopt;
+    return line.empty() ? endHead() : readField(line);
 }
 
 std::optional<answer_fault> answer_head_reader::readStatusLine(std::string_view line)
 {
     static constexpr std::string_view http10 = "HTTP/1.0 ";
     static constexpr std::string_view http11 = "HTTP/1.1 ";
-    if (!line.starts_with(http10) && !line.starts_with(http11)) {
+    m_isHttp10 = line.starts_with(http10);
+    if (!m_isHttp10 && !line.starts_with(http11)) {
         return answer_fault::StatusLine;
     }
     line.remove_prefix(http11.size());
@@ -85,6 +87,9 @@
     if (m_lastName.empty() || resemblesField(line)) {
         return answer_fault::FieldName;
     }
+    if (isFramingField(m_lastName)) {
+        return answer_fault::Framing; // libcurl reads these fields by itself and does not join folded lines.
+    }
     if (!isFieldValue(line)) {
         return answer_fault::FieldValue;
     }
@@ -92,15 +97,21 @@
     return std::nullopt;
 }
 
-void answer_head_reader::endHead()
+std::optional<answer_fault> answer_head_reader::endHead()
 {
+    const auto framing = readFraming(m_head.headers, {m_head.status, m_isHttp10, m_answersHead});
+    if (const auto *fault = std::get_if<answer_fault>(&framing)) {
+        return *fault;
+    }
+    m_head.framing = std::get<body_framing>(framing);
     if (http_status::isInformational(m_head.status)) {
         m_head = {};
         m_lastName.clear();
         m_phase = phase::StatusLine;
-        return;
+        return std::nullopt;
     }
     m_phase = phase::Complete;
+    return std::nullopt;
 }
 
 } // namespace carawayloft
--- a/src/ends/answer_head_reader.h
+++ b/src/ends/answer_head_reader.h
@@ -11,13 +11,14 @@
 namespace carawayloft {
 
 /**
- * Decides what the head of an answer is, for every reader of answers (RFC 9112, sections 4 and 5). Heads of
+ * Decides what the head of an answer is, for every reader of answers (RFC 9112, sections 4 to 6; RFC 9110, section 5). Heads of
  * informational answers are read like others and dropped.
  */
 class answer_head_reader
 {
 public:
-    answer_head_reader() = default;
+    /** @p answersHead: the request is a HEAD request, whose answer has no body. */
+    explicit answer_head_reader(bool answersHead);
 
     answer_head_reader(const answer_head_reader &) = delete;
     answer_head_reader &operator=(const answer_head_reader &) = delete;
@@ -47,9 +48,11 @@
     std::optional<answer_fault> readStatusLine(std::string_view line);
     std::optional<answer_fault> readField(std::string_view line);
     std::optional<answer_fault> readFoldedLine(std::string_view line);
-    void endHead();
+    std::optional<answer_fault> endHead();
 
+    bool m_answersHead;
     phase m_phase = phase::StatusLine;
+    bool m_isHttp10 = false;
     std::string m_lastName; /**< Of the field that a folded line goes on with; empty before the first one. */
     answer_head m_head;
 };
--- a/src/ends/answer_reader.cpp
+++ b/src/ends/answer_reader.cpp
@@ -1,7 +1,14 @@
 #include "ends/answer_reader.h"
 
+#include <carawayloft/core/overloaded.h>
+
 namespace carawayloft {
 
+answer_reader::answer_reader(bool answersHead)
+    : m_headReader(answersHead)
+{
+}
+
 std::optional<answer_fault> answer_reader::addHeadLine(std::string_view line)
 {
     m_headBytes += line.size();
@@ -11,4 +18,21 @@
     return m_headReader.addLine(line);
 }
 
+void answer_reader::addBody(std::string_view bytes)
+{
+    m_bodyBytes += bytes.size();
+}
+
+bool answer_reader::isWhole() const
+{
+    return hasHead()
+           && std::visit(overloaded{
+                             [](const no_body &) { return true; },
+                             [this](const body_with_length &stated) { return m_bodyBytes == stated.bytes; },
+                             [](const body_in_chunks &) { return true; },
+                             [](const body_until_close &) { return true; },
+                         },
+                         m_headReader.head().framing);
+}
+
 } // namespace carawayloft
--- a/src/ends/answer_reader.h
+++ b/src/ends/answer_reader.h
@@ -4,14 +4,15 @@
 #include "ends/answer_head_reader.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
 namespace carawayloft {
 
 /**
- * Reads one answer from the lines of its heads and decides whether it is one. No socket: the one who has the connection passes on
- * all that comes, and closes the connection after a fault.
+ * Reads one answer from the lines of its heads and the bytes behind them, and decides whether it is one. No socket: the one who
+ * has the connection passes on all that comes, and closes the connection after a fault.
  */
 class answer_reader
 {
@@ -19,9 +20,15 @@
     /** More bytes of heads, informational ones and trailers included, are a fault. */
     static constexpr std::size_t maxHeadBytes = std::size_t{64} << 10U;
 
+    /** @p answersHead: the request is a HEAD request, whose answer has no body. */
+    explicit answer_reader(bool answersHead);
+
     /** Takes the next line of a head with its line end. After a fault nothing of the answer may be used. */
     std::optional<answer_fault> addHeadLine(std::string_view line);
 
+    /** Takes bytes of the body. */
+    void addBody(std::string_view bytes);
+
     bool hasHead() const
     {
         return m_headReader.isComplete();
@@ -33,9 +40,13 @@
         return m_headReader.head();
     }
 
+    /** Whether the answer is whole if its connection ends here. */
+    bool isWhole() const;
+
 private:
     answer_head_reader m_headReader;
     std::size_t m_headBytes = 0;
+    std::uint64_t m_bodyBytes = 0;
 };
 
 } // namespace carawayloft
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -23,6 +23,7 @@
 struct transfer {
     explicit transfer(const http_call &call)
         : body(call.body)
+        , reader(call.method == "HEAD")
         , maxBodyBytes(call.maxBodyBytes)
     {
     }
@@ -275,6 +276,7 @@
         if (one.paused) {
             return CURL_WRITEFUNC_PAUSE;
         }
+        one.reader.addBody({bytes, size * count});
         one.bodyBytes += size * count;
         if (one.maxBodyBytes > 0 && one.bodyBytes > one.maxBodyBytes) {
             one.failure = "the body of the answer is too long";
@@ -382,7 +384,7 @@
         }
         const std::shared_ptr<transfer> one = found->second;
         m_transfers.erase(found);
-        if (code == CURLE_OK && one->reader.hasHead()) {
+        if (code == CURLE_OK && one->reader.isWhole()) {
             reportStart(*one);
             one->handle(http_finished{});
             return;
@@ -406,7 +408,7 @@
             failure = "the kept connection was closed";
         }
         if (isCut) {
-            failure = "the connection ended inside the head of the answer";
+            failure = one.reader.hasHead() ? "the connection ended inside the answer" : "the connection ended inside the head of the answer";
         }
         const bool closedByServer = isCut || (!neverSent && one.failure == nullptr && (one.resendRefused || isClosedByServer(one.easy, code)));
         return {{error_kind::ConnectionFailed, failure, "check that the server there runs"}, neverSent, closedByServer, std::nullopt};
--- a/src/ends/http_field.cpp
+++ b/src/ends/http_field.cpp
@@ -50,6 +50,20 @@
     return text.substr(begin, text.find_last_not_of(blanks) + 1 - begin);
 }
 
+std::vector<std::string_view> listElements(std::string_view list)
+{
+    std::vector<std::string_view> elements;
+    for (std::size_t begin = 0; begin <= list.size();) {
+        const std::size_t end = std::min(list.find(',', begin), list.size());
+        const std::string_view element = withoutBlanks(list.substr(begin, end - begin));
+        if (!element.empty()) {
+            elements.push_back(element);
+        }
+        begin = end + 1;
+    }
+    return elements;
+}
+
 std::variant<http_field, answer_fault> parseField(std::string_view line)
 {
     const std::size_t colon = line.find(':');
--- a/src/ends/http_field.h
+++ b/src/ends/http_field.h
@@ -4,6 +4,7 @@
 
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace carawayloft {
 
@@ -25,6 +26,9 @@
 /** @p text without the blanks and tabs around it. */
 std::string_view withoutBlanks(std::string_view text);
 
+/** Elements of a list (RFC 9110, section 5.6.1) whose elements hold no quoted commas; without the empty ones. */
+std::vector<std::string_view> listElements(std::string_view list);
+
 /** Parses a line without its line end. */
 std::variant<http_field, answer_fault> parseField(std::string_view line);
 
--- a/tests/ends/answer_reader_test.cpp
+++ b/tests/ends/answer_reader_test.cpp
@@ -37,7 +37,7 @@
 static void expectFault(const std::vector<named_answer> &answers, answer_fault expected)
 {
     for (const named_answer &each : answers) {
-        answer_reader reader;
+        answer_reader reader(false);
         const reading out = readAll(each.bytes, reader);
         ASSERT_TRUE(out.fault) << each.name;
         EXPECT_EQ(*out.fault, expected) << each.name << ": " << name(*out.fault);
@@ -59,3 +59,8 @@
 {
     expectFault(answersWithBrokenValues(), answer_fault::FieldValue);
 }
+
+TEST(AnswerReader, RejectsContradictoryFraming)
+{
+    expectFault(answersWithBrokenFraming(), answer_fault::Framing);
+}
--- a/tests/ends/malformed_answers_test.cpp
+++ b/tests/ends/malformed_answers_test.cpp
@@ -101,3 +101,18 @@
 {
     expectRejected(answersWithBrokenValues(), true);
 }
+
+TEST_F(HttpAnswers, WithContradictoryFramingFail)
+{
+    expectRejected(answersWithBrokenFraming(), true);
+}
+
+TEST_F(HttpAnswers, ToHeadRequestsHaveNoBody)
+{
+    for (const char *line : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        raw_answer_server server(context, std::string("HTTP/1.1 200 OK\r\n") + line + "\r\n", {});
+        const call_outcome out = call(server, "HEAD");
+        EXPECT_TRUE(out.finished) << line;
+        EXPECT_EQ(out.body, "");
+    }
+}
