HTTP client: a chunk that is none fails the call

What callers saw: a 200 with the seal of the server and a shorter or an empty body, framed as whole, where the server had sent odd chunk sizes: "0x2" ended the body, "2x", "2 2" and "2," were taken for 2. The last byte of an answer in chunks could be missing. Trailers behind an empty body were reported as headers of the answer, and believed.

Cause: libcurl reads the hexadecimal digits that a line begins with and passes over the rest of the line, and it passes trailers to the callback for headers.

Change: libcurl hands the chunks over as they come (CURLOPT_HTTP_TRANSFER_DECODING), and chunked_body_reader takes the body out of them (RFC 9112, section 7.1): digits alone, then nothing or chunk extensions without control bytes, at most 4 KiB a line and 63 bits; a line end behind the bytes of each chunk; trailers are dropped. libcurl goes on finding the end of the body, and what chunked_body_reader takes it reads in the same way. A call ends well only if the reader, too, says that the answer is whole.

--- a/src/ends/answer_fault.h
+++ b/src/ends/answer_fault.h
@@ -10,6 +10,7 @@
     FieldName, /**< A field without a name that is a token. */
     FieldValue, /**< A control byte in the value of a field. */
     Framing, /**< The head states no usable length of the body, or several. */
+    Chunk, /**< A chunk of the body that is none. */
     TooLong, /**< More bytes of heads, or of trailers, than are read. */
     Unreadable, /**< Rejected by libcurl. */
 };
@@ -26,6 +27,8 @@
         return "field_value";
     case answer_fault::Framing:
         return "framing";
+    case answer_fault::Chunk:
+        return "chunk";
     case answer_fault::TooLong:
         return "too_long";
     case answer_fault::Unreadable:
@@ -46,6 +49,8 @@
         return "a field value in the head of the answer is malformed";
     case answer_fault::Framing:
         return "the head of the answer states no usable length of the body";
+    case answer_fault::Chunk:
+        return "a chunk of the answer is malformed";
     case answer_fault::TooLong:
         return "the head of the answer is too long";
     case answer_fault::Unreadable:
--- a/src/ends/answer_head_reader.cpp
+++ b/src/ends/answer_head_reader.cpp
@@ -33,10 +33,15 @@
 std::optional<answer_fault> answer_head_reader::addLine(std::string_view line)
 {
     line = withoutLineEnd(line);
-    if (m_phase == phase::StatusLine) {
+    switch (m_phase) {
+    case phase::StatusLine:
         return readStatusLine(line);
+    case phase::Fields:
+        return line.empty() ? endHead() : readField(line);
+    case phase::Complete:
+        break;
     }
-    return line.empty() ? endHead() : readField(line);
+    return answer_fault::Framing;
 }
 
 std::optional<answer_fault> answer_head_reader::readStatusLine(std::string_view line)
--- a/src/ends/answer_reader.cpp
+++ b/src/ends/answer_reader.cpp
@@ -18,9 +18,17 @@
     return m_headReader.addLine(line);
 }
 
-void answer_reader::addBody(std::string_view bytes)
+std::variant<std::string, answer_fault> answer_reader::addBody(std::string_view bytes)
 {
-    m_bodyBytes += bytes.size();
+    if (!std::holds_alternative<body_in_chunks>(m_headReader.head().framing)) {
+        m_bodyBytes += bytes.size();
+        return std::string(bytes);
+    }
+    std::string body;
+    if (const auto fault = m_chunks.read(bytes, body)) {
+        return *fault;
+    }
+    return body;
 }
 
 bool answer_reader::isWhole() const
@@ -29,7 +37,7 @@
            && std::visit(overloaded{
                              [](const no_body &) { return true; },
                              [this](const body_with_length &stated) { return m_bodyBytes == stated.bytes; },
-                             [](const body_in_chunks &) { return true; },
+                             [this](const body_in_chunks &) { return m_chunks.isComplete(); },
                              [](const body_until_close &) { return true; },
                          },
                          m_headReader.head().framing);
--- a/src/ends/answer_reader.h
+++ b/src/ends/answer_reader.h
@@ -2,11 +2,12 @@
 
 #include "ends/answer_fault.h"
 #include "ends/answer_head_reader.h"
+#include "ends/chunked_body_reader.h"
 
-#include <cstddef>
-#include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <variant>
 
 namespace carawayloft {
 
@@ -17,7 +18,7 @@
 class answer_reader
 {
 public:
-    /** More bytes of heads, informational ones and trailers included, are a fault. */
+    /** More bytes of heads, informational ones included, are a fault. */
     static constexpr std::size_t maxHeadBytes = std::size_t{64} << 10U;
 
     /** @p answersHead: the request is a HEAD request, whose answer has no body. */
@@ -26,8 +27,8 @@
     /** Takes the next line of a head with its line end. After a fault nothing of the answer may be used. */
     std::optional<answer_fault> addHeadLine(std::string_view line);
 
-    /** Takes bytes of the body. */
-    void addBody(std::string_view bytes);
+    /** Takes bytes behind the head; the bytes of the body among them. */
+    std::variant<std::string, answer_fault> addBody(std::string_view bytes);
 
     bool hasHead() const
     {
@@ -45,6 +46,7 @@
 
 private:
     answer_head_reader m_headReader;
+    chunked_body_reader m_chunks;
     std::size_t m_headBytes = 0;
     std::uint64_t m_bodyBytes = 0;
 };
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -276,14 +276,20 @@
         if (one.paused) {
             return CURL_WRITEFUNC_PAUSE;
         }
-        one.reader.addBody({bytes, size * count});
-        one.bodyBytes += size * count;
+        std::variant<std::string, answer_fault> read = one.reader.addBody({bytes, size * count});
+        if (const auto *fault = std::get_if<answer_fault>(&read)) {
+            return reject(one, *fault);
+        }
+        auto &body = std::get<std::string>(read);
+        one.bodyBytes += body.size();
         if (one.maxBodyBytes > 0 && one.bodyBytes > one.maxBodyBytes) {
             one.failure = "the body of the answer is too long";
             return 0;
         }
-        reportStart(one);
-        one.handle(http_received{std::string(bytes, size * count)});
+        if (!body.empty()) {
+            reportStart(one);
+            one.handle(http_received{std::move(body)});
+        }
         return size * count;
     }
 
@@ -384,7 +390,7 @@
         }
         const std::shared_ptr<transfer> one = found->second;
         m_transfers.erase(found);
-        if (code == CURLE_OK && one->reader.isWhole()) {
+        if (code == CURLE_OK && !one->malformed && one->reader.isWhole()) {
             reportStart(*one);
             one->handle(http_finished{});
             return;
--- a/tests/ends/answer_reader_test.cpp
+++ b/tests/ends/answer_reader_test.cpp
@@ -12,13 +12,14 @@
 
 struct reading {
     std::optional<answer_fault> fault;
+    std::string body;
     bool isWhole = false;
 };
 
 } // namespace
 
-/** Reads an answer without libcurl, which rejects some of them by itself. */
-static reading readAll(const std::string &bytes, answer_reader &reader)
+/** Reads an answer without libcurl, which rejects some of them by itself; @p step bytes of the body at a time. */
+static reading readAll(const std::string &bytes, std::size_t step, answer_reader &reader)
 {
     reading out;
     std::string_view left(bytes);
@@ -30,17 +31,28 @@
         }
         left.remove_prefix(length);
     }
-    out.isWhole = reader.hasHead();
+    while (!left.empty()) {
+        const std::variant<std::string, answer_fault> read = reader.addBody(left.substr(0, step));
+        if (const auto *fault = std::get_if<answer_fault>(&read)) {
+            out.fault = *fault;
+            return out;
+        }
+        out.body += std::get<std::string>(read);
+        left.remove_prefix(std::min(step, left.size()));
+    }
+    out.isWhole = reader.isWhole();
     return out;
 }
 
 static void expectFault(const std::vector<named_answer> &answers, answer_fault expected)
 {
     for (const named_answer &each : answers) {
-        answer_reader reader(false);
-        const reading out = readAll(each.bytes, reader);
-        ASSERT_TRUE(out.fault) << each.name;
-        EXPECT_EQ(*out.fault, expected) << each.name << ": " << name(*out.fault);
+        for (const std::size_t step : {std::size_t{1}, each.bytes.size()}) {
+            answer_reader reader(false);
+            const reading out = readAll(each.bytes, step, reader);
+            ASSERT_TRUE(out.fault) << each.name;
+            EXPECT_EQ(*out.fault, expected) << each.name << ": " << name(*out.fault);
+        }
     }
 }
 
@@ -64,3 +76,33 @@
 {
     expectFault(answersWithBrokenFraming(), answer_fault::Framing);
 }
+
+TEST(AnswerReader, RejectsMalformedChunks)
+{
+    expectFault(answersWithBrokenChunks(), answer_fault::Chunk);
+}
+
+TEST(AnswerReader, TakesRareForms)
+{
+    for (const rare_answer &each : rareAnswers()) {
+        for (const std::size_t step : {std::size_t{1}, each.answer.bytes.size()}) {
+            answer_reader reader(false);
+            const reading out = readAll(each.answer.bytes, step, reader);
+            EXPECT_FALSE(out.fault) << each.answer.name;
+            EXPECT_TRUE(out.isWhole) << each.answer.name;
+            EXPECT_EQ(out.body, each.body) << each.answer.name;
+            EXPECT_EQ(reader.head().status, each.status) << each.answer.name;
+        }
+    }
+}
+
+TEST(AnswerReader, AnAnswerThatIsCutIsNotWhole)
+{
+    for (const std::string &whole : {answerWith({}), chunkedAnswer("2;a\r\nok\r\n0\r\nX-Value: 1\r\n\r\n")}) {
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            answer_reader reader(false);
+            const reading out = readAll(whole.substr(0, length), 1, reader);
+            EXPECT_FALSE(out.isWhole) << whole.substr(0, length);
+        }
+    }
+}
--- a/tests/ends/malformed_answers_test.cpp
+++ b/tests/ends/malformed_answers_test.cpp
@@ -107,6 +107,40 @@
     expectRejected(answersWithBrokenFraming(), true);
 }
 
+TEST_F(HttpAnswers, WithMalformedChunksFail)
+{
+    expectRejected(answersWithBrokenChunks(), false);
+}
+
+TEST_F(HttpAnswers, ThatAreCutFail)
+{
+    for (const std::string &whole : {answerWith({}), chunkedAnswer("2;a\r\nok\r\n0\r\nX-Value: 1\r\n\r\n")}) {
+        for (std::size_t length = 1; length < whole.size(); ++length) {
+            raw_answer_server server(context, whole.substr(0, length), {});
+            server.closeAfterAnswers();
+            const call_outcome out = call(server);
+            EXPECT_FALSE(out.finished) << whole.substr(0, length);
+            ASSERT_TRUE(out.failure);
+            EXPECT_TRUE(out.failure->closedByServer) << whole.substr(0, length);
+        }
+    }
+}
+
+// Trailers behind an empty body were reported as headers of the answer.
+TEST_F(HttpAnswers, InRareFormsAreTaken)
+{
+    for (const rare_answer &each : rareAnswers()) {
+        SCOPED_TRACE(each.answer.name);
+        raw_answer_server server(context, each.answer.bytes, {});
+        call_outcome out = call(server);
+        EXPECT_TRUE(out.finished) << (out.failure ? out.failure->why.what : "");
+        ASSERT_TRUE(out.head);
+        EXPECT_EQ(out.head->status, each.status);
+        EXPECT_EQ(out.body, each.body);
+        EXPECT_EQ(out.head->headers["X-Value"], each.value);
+    }
+}
+
 TEST_F(HttpAnswers, ToHeadRequestsHaveNoBody)
 {
     for (const char *line : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
