HTTP client: a trailer that is no field fails the call

What callers saw: answers in chunks whose trailers held an empty name, a name with a blank or a control byte, a control byte in a value, or no colon came through as whole, streams of events too. Nothing of the trailer was passed on.

Cause: trailers were not looked at. libcurl ignores what the callback for headers says of a trailer, so a check there had no effect.

Change: chunked_body_reader reads trailers by parseField(), as heads are read, and drops those that are sound (RFC 9110, section 6.5.1). An answer behind which a server wrote bytes that are no fields is not taken for whole.

--- a/src/ends/answer_fault.h
+++ b/src/ends/answer_fault.h
@@ -11,6 +11,7 @@
     FieldValue, /**< A control byte in the value of a field. */
     Framing, /**< The head states no usable length of the body, or several. */
     Chunk, /**< A chunk of the body that is none. */
+    Trailer, /**< A line behind the last chunk that is no field. */
     TooLong, /**< More bytes of heads, or of trailers, than are read. */
     Unreadable, /**< Rejected by libcurl. */
 };
@@ -29,6 +30,8 @@
         return "framing";
     case answer_fault::Chunk:
         return "chunk";
+    case answer_fault::Trailer:
+        return "trailer";
     case answer_fault::TooLong:
         return "too_long";
     case answer_fault::Unreadable:
@@ -51,6 +54,8 @@
         return "the head of the answer states no usable length of the body";
     case answer_fault::Chunk:
         return "a chunk of the answer is malformed";
+    case answer_fault::Trailer:
+        return "a trailer of the answer is malformed";
     case answer_fault::TooLong:
         return "the head of the answer is too long";
     case answer_fault::Unreadable:
--- a/src/ends/chunked_body_reader.cpp
+++ b/src/ends/chunked_body_reader.cpp
@@ -88,8 +88,9 @@
     m_trailerBytes += line.size();
     if (text.empty()) {
         m_phase = phase::Complete;
+        return std::nullopt;
     }
-    return std::nullopt;
+    return std::holds_alternative<http_field>(parseField(text)) ? std::nullopt : std::optional(answer_fault::Trailer);
 }
 
 std::optional<answer_fault> chunked_body_reader::readSize(std::string_view line)
--- a/src/ends/chunked_body_reader.h
+++ b/src/ends/chunked_body_reader.h
@@ -10,7 +10,7 @@
 
 namespace carawayloft {
 
-/** Takes a body out of its chunks (RFC 9112, section 7.1). Chunk extensions are checked and dropped, trailers are dropped. */
+/** Takes a body out of its chunks (RFC 9112, section 7.1). Chunk extensions and trailers are checked and dropped. */
 class chunked_body_reader
 {
 public:
--- a/tests/ends/answer_reader_test.cpp
+++ b/tests/ends/answer_reader_test.cpp
@@ -82,6 +82,11 @@
     expectFault(answersWithBrokenChunks(), answer_fault::Chunk);
 }
 
+TEST(AnswerReader, RejectsMalformedTrailers)
+{
+    expectFault(answersWithBrokenTrailers(), answer_fault::Trailer);
+}
+
 TEST(AnswerReader, TakesRareForms)
 {
     for (const rare_answer &each : rareAnswers()) {
--- a/tests/ends/malformed_answers_test.cpp
+++ b/tests/ends/malformed_answers_test.cpp
@@ -112,6 +112,11 @@
     expectRejected(answersWithBrokenChunks(), false);
 }
 
+TEST_F(HttpAnswers, WithMalformedTrailersFail)
+{
+    expectRejected(answersWithBrokenTrailers(), false);
+}
+
 TEST_F(HttpAnswers, ThatAreCutFail)
 {
     for (const std::string &whole : {answerWith({}), chunkedAnswer("2;a\r\nok\r\n0\r\nX-Value: 1\r\n\r\n")}) {
