HTTP client: bytes behind the last chunk end the connection

What was seen: an answer in chunks with more bytes behind it left its connection open for the next call, although what else comes on it belongs to no request. No caller was seen to get such bytes; the request id tells them apart.

Cause: libcurl closes a connection with bytes behind a body of a stated length, and drops those behind the last chunk without closing it.

Change: chunked_body_reader notices them, and the client forbids the reuse of the connection. The answer itself is whole and is passed on.

--- a/src/ends/answer_reader.cpp
+++ b/src/ends/answer_reader.cpp
@@ -43,4 +43,9 @@
                          m_headReader.head().framing);
 }
 
+bool answer_reader::hasExcess() const
+{
+    return m_chunks.hasExcess();
+}
+
 } // namespace carawayloft
--- a/src/ends/answer_reader.h
+++ b/src/ends/answer_reader.h
@@ -44,6 +44,9 @@
     /** Whether the answer is whole if its connection ends here. */
     bool isWhole() const;
 
+    /** Whether bytes came behind the answer, which belong to none. */
+    bool hasExcess() const;
+
 private:
     answer_head_reader m_headReader;
     chunked_body_reader m_chunks;
--- a/src/ends/chunked_body_reader.cpp
+++ b/src/ends/chunked_body_reader.cpp
@@ -24,6 +24,7 @@
 {
     while (!bytes.empty()) {
         if (m_phase == phase::Complete) {
+            m_hasExcess = true;
             return std::nullopt;
         }
         if (m_phase == phase::Data) {
--- a/src/ends/chunked_body_reader.h
+++ b/src/ends/chunked_body_reader.h
@@ -29,6 +29,12 @@
         return m_phase == phase::Complete;
     }
 
+    /** Whether bytes came behind the end, which belong to no answer. */
+    bool hasExcess() const
+    {
+        return m_hasExcess;
+    }
+
 private:
     enum class phase : std::uint8_t {
         Size,
@@ -48,6 +54,7 @@
     std::uint64_t m_left = 0; /**< Bytes of the chunk that have not come. */
     std::string m_line; /**< The beginning of a line whose end has not come. */
     std::size_t m_trailerBytes = 0;
+    bool m_hasExcess = false;
 };
 
 } // namespace carawayloft
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -280,6 +280,9 @@
         if (const auto *fault = std::get_if<answer_fault>(&read)) {
             return reject(one, *fault);
         }
+        if (one.reader.hasExcess()) {
+            curl_easy_setopt(one.easy, CURLOPT_FORBID_REUSE, 1L); // What follows would be taken for the next answer.
+        }
         auto &body = std::get<std::string>(read);
         one.bodyBytes += body.size();
         if (one.maxBodyBytes > 0 && one.bodyBytes > one.maxBodyBytes) {
--- a/tests/ends/answer_reader_test.cpp
+++ b/tests/ends/answer_reader_test.cpp
@@ -95,6 +95,7 @@
             const reading out = readAll(each.answer.bytes, step, reader);
             EXPECT_FALSE(out.fault) << each.answer.name;
             EXPECT_TRUE(out.isWhole) << each.answer.name;
+            EXPECT_FALSE(reader.hasExcess()) << each.answer.name;
             EXPECT_EQ(out.body, each.body) << each.answer.name;
             EXPECT_EQ(reader.head().status, each.status) << each.answer.name;
         }
--- a/tests/ends/malformed_answers_test.cpp
+++ b/tests/ends/malformed_answers_test.cpp
@@ -155,3 +155,16 @@
         EXPECT_EQ(out.body, "");
     }
 }
+
+// The bytes behind the last chunk would be taken for the answer to the next call.
+TEST_F(HttpAnswers, WithBytesBehindTheLastChunkEndTheConnection)
+{
+    raw_answer_server server(context, chunkedAnswer("2\r\nok\r\n0\r\n\r\n") + answerWith({}, "HTTP/1.1 404 Not Found\r\n"), {});
+    const call_outcome first = call(server);
+    EXPECT_TRUE(first.finished);
+    EXPECT_EQ(first.body, "ok");
+    const call_outcome second = call(server);
+    EXPECT_TRUE(second.finished);
+    EXPECT_EQ(second.head->status, 200U);
+    EXPECT_EQ(server.connections(), 2U);
+}
