Command line: answers are read by the HTTP client of the processes

What operators saw: the tool printed what stood under a head with a broken name or value, and followed a redirect in one, since it read answers with a libcurl handle of its own.

Change: control_client makes its calls by http_client, so that one place decides what an answer is. It follows 307 by itself, up to five times and to HTTP addresses alone; replicas send no other redirect. A replica with a malformed answer is passed over like one that does not answer, and the error says so.

The other readers of answers (calls of gateways and agents, orders of control, the load tool and the stand-ins) use http_client already; replicas talk to each other in frames, and probes of backend servers only connect.

--- a/include/carawayloft/core/http_status.h
+++ b/include/carawayloft/core/http_status.h
@@ -10,6 +10,7 @@
 inline constexpr std::uint32_t ok = 200; /**< Lowest code of a final answer; those below it are informational (1xx). */
 inline constexpr std::uint32_t noContent = 204;
 inline constexpr std::uint32_t notModified = 304;
+inline constexpr std::uint32_t temporaryRedirect = 307;
 inline constexpr std::uint32_t unauthorized = 401;
 inline constexpr std::uint32_t notFound = 404;
 inline constexpr std::uint32_t requestTimeout = 408;
--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -1,71 +1,101 @@
 #include "cli/control_client.h"
 
+#include "ends/http_client.h"
+
+#include <carawayloft/core/http_status.h>
+#include <carawayloft/core/overloaded.h>
+
 #include <curl/curl.h>
 
 #include <memory>
+#include <optional>
+#include <thread>
+#include <utility>
 
 namespace carawayloft::cli {
 
-static constexpr long connectTimeoutMs = 1'000;
-static constexpr long timeoutMs = 5'000;
+static constexpr duration callTimeout{5'000};
 
 /** Longest answer of a control replica; the largest holds the whole state. */
 static constexpr std::size_t maxAnswerBytes = std::size_t{64} << 20U;
 
+/** Replicas may send a call on while the leader changes. */
+static constexpr int maxRedirects = 5;
+
 /** Rounds over all replicas while an election is under way, and the pause between them. */
 static constexpr int rounds = 20;
-static constexpr int roundPauseMs = 250;
+static constexpr std::chrono::milliseconds roundPause{250};
 
-static constexpr long leastServerError = 500;
-static constexpr long leastError = 400;
+static constexpr std::uint32_t leastError = 400;
 
 namespace {
 
 struct http_answer {
-    long status = 0;
+    std::uint32_t status = 0;
+    std::string location; /**< Where a redirect sends the call; empty otherwise. */
     std::string body;
 };
 
 } // namespace
 
-/** Appends to the body of the answer; a longer one than maxAnswerBytes ends the call. */
-static std::size_t collect(const char *bytes, std::size_t size, std::size_t count, void *user)
+/** Makes one call and waits for its end. */
+static result<http_answer> perform(const http_call &call)
 {
-    auto &body = *static_cast<std::string *>(user);
-    if (body.size() + size * count > maxAnswerBytes) {
-        return 0;
+    asio::io_context context;
+    const std::unique_ptr<http_client> client = http_client::create(context);
+    http_answer answer;
+    std::optional<error> failure;
+    bool isDone = false;
+    client->start(call, [&](const http_event &event) {
+        std::visit(overloaded{
+                       [&](const http_started &head) {
+                           answer.status = head.status;
+                           const auto location = head.headers.find("Location");
+                           answer.location = location == head.headers.end() ? std::string() : location->second;
+                       },
+                       [&](const http_received &received) { answer.body += received.bytes; },
+                       [&](const http_finished &) { isDone = true; },
+                       [&](const http_failed &failed) {
+                           failure = failed.why;
+                           isDone = true;
+                       },
+                   },
+                   event);
+    });
+    while (!isDone) {
+        context.run_one();
     }
-    body.append(bytes, size * count);
-    return size * count;
+    if (failure) {
+        return error{failure->kind, call.url + ": " + failure->what, "check --control and that the control replicas run"};
+    }
+    return answer;
 }
 
 static result<http_answer> fetch(const std::string &url, const std::string *body)
 {
-    const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(), &curl_easy_cleanup);
-    http_answer answer;
-    curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
-    curl_easy_setopt(easy.get(), CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(easy.get(), CURLOPT_FOLLOWLOCATION, 1L);
-    curl_easy_setopt(easy.get(), CURLOPT_POSTREDIR, static_cast<long>(CURL_REDIR_POST_ALL));
-    curl_easy_setopt(easy.get(), CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
-    curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, timeoutMs);
-    curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &collect);
-    curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &answer.body);
+    http_call call;
+    call.url = url;
+    call.timeout = callTimeout;
+    call.maxBodyBytes = maxAnswerBytes;
     if (body != nullptr) {
-        curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body->c_str());
+        call.method = "POST";
+        call.headers.emplace("Content-Type", "application/json");
+        call.body = *body;
     }
-    const CURLcode code = curl_easy_perform(easy.get());
-    if (code != CURLE_OK) {
-        return error{error_kind::ConnectionFailed, url + ": " + curl_easy_strerror(code), "check --control and that the control replicas run"};
+    result<http_answer> answer = perform(call);
+    for (int i = 0; i < maxRedirects && !failed(answer) && valueOf(answer).status == http_status::temporaryRedirect; ++i) {
+        call.url = valueOf(answer).location;
+        if (!call.url.starts_with("http://")) {
+            return error{error_kind::MalformedAnswer, url + ": the redirect names no HTTP address", "check the control replica there"};
+        }
+        answer = perform(call);
     }
-    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &answer.status);
     return answer;
 }
 
 control_client::control_client(std::vector<std::string> replicas)
     : m_replicas(std::move(replicas))
 {
-    curl_global_init(CURL_GLOBAL_DEFAULT);
 }
 
 result<nlohmann::ordered_json> control_client::get(const std::string &path) const
@@ -98,16 +128,15 @@
                 continue;
             }
             auto json = nlohmann::ordered_json::parse(valueOf(answer).body, nullptr, false);
-            if (valueOf(answer).status < leastError && !json.is_discarded()) {
+            if (valueOf(answer).status < http_status::temporaryRedirect && !json.is_discarded()) {
                 return json;
             }
             last = errorIn(json);
-            if (valueOf(answer).status < leastServerError) {
+            if (valueOf(answer).status >= leastError && valueOf(answer).status < http_status::internalServerError) {
                 return last;
             }
         }
-        const std::unique_ptr<CURLM, decltype(&curl_multi_cleanup)> multi(curl_multi_init(), &curl_multi_cleanup);
-        curl_multi_poll(multi.get(), nullptr, 0, roundPauseMs, nullptr);
+        std::this_thread::sleep_for(roundPause);
     }
     return last;
 }
