HTTP server: an answer that HTTP does not allow is replaced by 502

A second line of defence: the encoder of heads wrote whatever status, names and values it was given, so each fault of a reader of servers' answers reached callers.

Change: encodeHead() fails for a status outside 200 to 599, a name that is no token, a value with control bytes, and for headers that it sets itself (Connection, Content-Length, Transfer-Encoding), by the same functions that readers use. The one who streams the answer is told as when the caller goes away.

--- a/src/ends/http_connection.cpp
+++ b/src/ends/http_connection.cpp
@@ -4,6 +4,7 @@
 #include "ends/http_port.h"
 #include "ends/http_response_head.h"
 
+#include <carawayloft/core/http_status.h>
 #include <carawayloft/core/overloaded.h>
 
 #include <asio/post.hpp>
@@ -39,6 +40,16 @@
     return bytes;
 }
 
+static std::string lengthLine(const std::string &body)
+{
+    return fmt::format("Content-Length: {}\r\n", body.size());
+}
+
+static http_response errorResponse(std::uint32_t status, const std::string &reason)
+{
+    return {status, {{"Content-Type", "application/json"}}, nlohmann::json{{"error", reason}}.dump()};
+}
+
 http_connection::http_connection(std::shared_ptr<http_port> port, byte_holder_id id, asio::ip::tcp::socket socket)
     : m_port(std::move(port))
     , m_id(id)
@@ -231,12 +242,13 @@
     m_hangUp = nullptr;
     m_answerComplete = true;
     m_keepAlive = m_keepAlive && !closing;
-    const bool bare = hasNoBody(response.status);
-    std::string out = encodeHead(response, m_keepAlive, bare ? std::string() : fmt::format("Content-Length: {}\r\n", response.body.size()));
-    if (!bare && !m_isHead) {
-        out += response.body;
+    const bool bare = http_status::hasNoBody(response.status);
+    result<std::string> head = encodeHead(response, m_keepAlive, bare ? std::string() : lengthLine(response.body));
+    if (failed(head)) {
+        rejectAnswer(errorOf(head));
+        return;
     }
-    send(std::move(out));
+    send(bare || m_isHead ? std::move(valueOf(head)) : valueOf(head) + response.body);
 }
 
 void http_connection::startStream(request_number request, const http_response &head, bool closing)
@@ -244,9 +256,21 @@
     if (!isCurrent(request)) {
         return;
     }
-    m_streaming = true;
     m_keepAlive = m_keepAlive && !closing;
-    send(encodeHead(head, m_keepAlive, hasNoBody(head.status) ? std::string() : "Transfer-Encoding: chunked\r\n"));
+    result<std::string> encoded = encodeHead(head, m_keepAlive, http_status::hasNoBody(head.status) ? std::string() : "Transfer-Encoding: chunked\r\n");
+    if (failed(encoded)) {
+        // The one who answers learns that nothing of its answer is taken any more; it may be in the middle of a call here.
+        asio::post(m_socket.get_executor(), [handle = std::exchange(m_hangUp, nullptr)] {
+            if (handle) {
+                handle();
+            }
+        });
+        m_answerComplete = true;
+        rejectAnswer(errorOf(encoded));
+        return;
+    }
+    m_streaming = true;
+    send(std::move(valueOf(encoded)));
 }
 
 void http_connection::write(request_number request, const std::string &bytes, std::function<void()> sent)
@@ -364,6 +388,15 @@
     awaitBytes();
 }
 
+/** Answers 502 in place of an answer that cannot be written, which promises nothing about the request. */
+void http_connection::rejectAnswer(const error &why)
+{
+    m_port->reportRejection(http_rejection::AnswerUnwritable, m_peer, why.what, 0);
+    m_keepAlive = false;
+    const http_response response = errorResponse(http_status::badGateway, why.what);
+    send(valueOf(encodeHead(response, false, lengthLine(response.body))) + response.body);
+}
+
 void http_connection::reject(http_rejection why, std::uint32_t status, const std::string &reason)
 {
     m_port->reportRejection(why, m_peer, reason, m_delivering ? m_requestHeld : m_reader.bodyBytes());
@@ -372,11 +405,11 @@
     m_phase = phase::Lingering;
     m_keepAlive = false;
     m_since = monotonicNow();
-    http_response response{status, {{"Content-Type", "application/json"}}, nlohmann::json{{"error", reason}}.dump()};
+    http_response response = errorResponse(status, reason);
     if (why == http_rejection::BudgetExhausted) {
         response.headers.emplace("Retry-After", budgetRetryAfterSeconds);
     }
-    send(encodeHead(response, false, fmt::format("Content-Length: {}\r\n", response.body.size())) + response.body);
+    send(valueOf(encodeHead(response, false, lengthLine(response.body))) + response.body);
 }
 
 void http_connection::rejectUnfinishedBody()
--- a/src/ends/http_connection.h
+++ b/src/ends/http_connection.h
@@ -89,6 +89,7 @@
     void sendNext();
     void endAnswer();
     void linger();
+    void rejectAnswer(const error &why);
     void reject(http_rejection why, std::uint32_t status, const std::string &reason);
     void reportHeld();
     bool isCurrent(request_number request) const;
--- a/src/ends/http_port.cpp
+++ b/src/ends/http_port.cpp
@@ -42,6 +42,8 @@
         return event_number::ByteBudgetExhausted;
     case http_rejection::AnswerUntaken:
         return event_number::UntakenAnswerCut;
+    case http_rejection::AnswerUnwritable:
+        return event_number::UnwritableAnswer;
     case http_rejection::TooManyConnections:
         return event_number::HttpConnectionLimitReached;
     case http_rejection::Malformed:
--- a/src/ends/http_rejection.h
+++ b/src/ends/http_rejection.h
@@ -12,6 +12,7 @@
     TooSlow, /**< 408. */
     BudgetExhausted, /**< 503: unfinished bodies take more than the process may hold. */
     AnswerUntaken, /**< Cut: untaken answers take more than the process may hold. */
+    AnswerUnwritable, /**< 502: the answer has a status or a header that HTTP does not allow. */
     TooManyConnections, /**< Closed: the client address has as many connections as it may. */
 };
 
@@ -30,6 +31,8 @@
         return "budget_exhausted";
     case http_rejection::AnswerUntaken:
         return "answer_untaken";
+    case http_rejection::AnswerUnwritable:
+        return "answer_unwritable";
     case http_rejection::TooManyConnections:
         return "too_many_connections";
     }
--- a/src/ends/http_response_head.cpp
+++ b/src/ends/http_response_head.cpp
@@ -1,7 +1,13 @@
 #include "ends/http_response_head.h"
 
+#include "ends/body_framing.h"
+#include "ends/http_field.h"
+
+#include <carawayloft/core/http_status.h>
+
 #include <fmt/format.h>
 
+#include <strings.h>
 #include <unordered_map>
 
 namespace carawayloft {
@@ -31,8 +37,32 @@
     return reason == reasons.end() ? "Status" : reason->second;
 }
 
-std::string encodeHead(const http_response &response, bool keepAlive, const std::string &framing)
+static bool isWritable(const std::string &name, const std::string &value)
+{
+    const bool isOfEncoder = isFramingField(name) || strcasecmp(name.c_str(), "Connection") == 0;
+    return isToken(name) && isFieldValue(value) && !isOfEncoder;
+}
+
+/** Second line of defence: what is read from servers has been checked before. */
+static status checkHead(const http_response &response)
 {
+    static constexpr const char *remedy = "report it with the lines of this request";
+    if (!http_status::isFinal(response.status)) {
+        return error{error_kind::MalformedAnswer, fmt::format("an answer has the status {}", response.status), remedy};
+    }
+    for (const auto &[name, value] : response.headers) {
+        if (!isWritable(name, value)) {
+            return error{error_kind::MalformedAnswer, "a header of an answer cannot be written", remedy};
+        }
+    }
+    return {};
+}
+
+result<std::string> encodeHead(const http_response &response, bool keepAlive, const std::string &framing)
+{
+    if (status checked = checkHead(response); failed(checked)) {
+        return errorOf(checked);
+    }
     std::string out
         = fmt::format("HTTP/1.1 {} {}\r\nConnection: {}\r\n{}", response.status, reasonPhrase(response.status), keepAlive ? "keep-alive" : "close", framing);
     for (const auto &[name, value] : response.headers) {
@@ -44,9 +74,4 @@
     return out + "\r\n";
 }
 
-bool hasNoBody(std::uint32_t status)
-{
-    return status == 204 || status == 304;
-}
-
 } // namespace carawayloft
--- a/tests/ends/http_server_test.cpp
+++ b/tests/ends/http_server_test.cpp
@@ -110,6 +110,54 @@
               "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\nServer: carawayloft\r\n\r\n5\r\nevent\r\n0\r\n\r\n");
 }
 
+// Second line of defence: what cannot be written is an error of this process, never bytes that a caller takes for something else.
+TEST_F(HttpServer, AnswersThatHttpDoesNotAllowAreReplacedByBadGateway)
+{
+    serve({});
+    const std::vector<http_response> responses{{0, {}, "x"},
+                                               {99, {}, "x"},
+                                               {100, {}, "x"},
+                                               {101, {}, "x"},
+                                               {199, {}, "x"},
+                                               {600, {}, "x"},
+                                               {1'000, {}, "x"},
+                                               {200, {{"", "1"}}, "x"},
+                                               {200, {{"X Blank", "1"}}, "x"},
+                                               {200, {{"X-Colon:", "1"}}, "x"},
+                                               {200, {{"X-Line\r\nX-Other", "1"}}, "x"},
+                                               {200, {{"X-Value", "a\r\nX-Other: 1"}}, "x"},
+                                               {200, {{"X-Value", "a\nb"}}, "x"},
+                                               {200, {{"X-Value", std::string("a\0b", 3)}}, "x"},
+                                               {200, {{"X-Value", "\x7f"}}, "x"},
+                                               {200, {{"Content-Length", "9"}}, "x"},
+                                               {200, {{"transfer-encoding", "chunked"}}, "x"},
+                                               {200, {{"Connection", "upgrade"}}, "x"}};
+    for (const http_response &response : responses) {
+        for (const bool streams : {false, true}) {
+            m_exchanges.clear();
+            m_rejections.clear();
+            auto socket = connect();
+            send(socket, "GET /x HTTP/1.1\r\n\r\n");
+            ASSERT_TRUE(runUntil([&] { return m_exchanges.size() == 1; }));
+            bool isGone = false;
+            m_exchanges[0]->onHangUp([&] { isGone = true; });
+            if (streams) {
+                m_exchanges[0]->startStream(response);
+                m_exchanges[0]->write("event", [] {});
+                m_exchanges[0]->finish();
+            } else {
+                m_exchanges[0]->respond(response);
+            }
+            const std::string answer = readUntil(socket, "nothing");
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: ")) << answer;
+            EXPECT_EQ(answer.find("X-Other"), std::string::npos);
+            EXPECT_EQ(answer.find("event"), std::string::npos);
+            EXPECT_EQ(m_rejections, std::vector{http_rejection::AnswerUnwritable});
+            EXPECT_EQ(isGone, streams) << "only of a stream more would come";
+        }
+    }
+}
+
 // A caller that pipelines requests without reading answers filled the memory with both.
 TEST_F(HttpServer, KeepsFewBytesOfPipelinedRequests)
 {
