Operators see which servers send malformed answers

A call that failed for a malformed answer was one failed call among others: call_repeated or request_outcome_unknown had its reason, and nothing counted them or named the server of a request that was not repeated.

Gateways, agents and control now log event 119 (malformed_answer) with the request, the backend server and the fault, five lines a second at most, and count carawayloft_malformed_answers_total by fault.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -33,6 +33,8 @@
         return {"untaken_answer_cut", severity::Warning};
     case event_number::HttpConnectionLimitReached:
         return {"http_connection_limit_reached", severity::Info};
+    case event_number::MalformedAnswer:
+        return {"malformed_answer", severity::Warning};
     case event_number::UnwritableAnswer:
         return {"unwritable_answer", severity::Error};
     case event_number::RequestRejected:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -21,6 +21,7 @@
     ByteBudgetExhausted = 116,
     UntakenAnswerCut = 117,
     HttpConnectionLimitReached = 118,
+    MalformedAnswer = 119,
     UnwritableAnswer = 120,
     RequestRejected = 200,
     RouteChosen = 201,
--- a/src/tasks/agent_task.cpp
+++ b/src/tasks/agent_task.cpp
@@ -171,7 +171,8 @@
                            m_polling = false;
                            handleLoadReport(*body);
                        },
-                       [&](const http_failed &) {
+                       [&](const http_failed &failure) {
+                           m_malformedAnswers.record(failure, m_backendUrl, "load report");
                            m_polling = false;
                            if (++m_failedPolls >= maxFailedPolls) {
                                run(backend_report{});
@@ -237,6 +238,7 @@
                            run(backend_call_event{key, answer_finished{}});
                        },
                        [&](const http_failed &failure) {
+                           m_malformedAnswers.record(failure, m_backendUrl, std::to_string(key.request.value()));
                            m_calls.erase(key);
                            run(backend_call_event{key, answer_failed{failure.neverSent}});
                        },
@@ -276,7 +278,8 @@
                        [&](const http_finished &) {
                            run(serve_order_result{epoch, *accepted});
                        },
-                       [&](const http_failed &) {
+                       [&](const http_failed &failure) {
+                           m_malformedAnswers.record(failure, m_backendUrl, "serve order");
                            run(serve_order_result{epoch, false});
                        },
                    },
--- a/src/tasks/agent_task.h
+++ b/src/tasks/agent_task.h
@@ -9,6 +9,7 @@
 #include "ends/metrics.h"
 #include "ends/peer_links.h"
 #include "tasks/control_session.h"
+#include "tasks/malformed_answers.h"
 
 #include <carawayloft/backend/backend_pipe.h>
 
@@ -64,6 +65,7 @@
     std::function<void()> m_onStopped;
     timer_service m_timers;
     metrics m_metrics;
+    malformed_answers m_malformedAnswers{m_metrics};
     backend_pipe m_pipe;
     std::string m_backendUrl; /**< Empty until the backend server has announced itself. */
     std::map<attempt_key, http_call_id> m_calls;
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -9,6 +9,7 @@
 #include "ends/metrics.h"
 #include "ends/peer_links.h"
 #include "tasks/front_end.h"
+#include "tasks/malformed_answers.h"
 #include "tasks/replica_directory.h"
 
 #include <carawayloft/control/cluster_formation.h>
@@ -158,6 +159,7 @@
     std::function<void(bool)> m_onEnded;
     timer_service m_timers;
     metrics m_metrics;
+    malformed_answers m_malformedAnswers{m_metrics};
     std::mt19937_64 m_random;
     std::unique_ptr<data_folder> m_folder;
     log_store m_store;
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -98,6 +98,9 @@
         }
         if (std::holds_alternative<http_finished>(event) || std::holds_alternative<http_failed>(event)) {
             const auto *failure = std::get_if<http_failed>(&event);
+            if (failure != nullptr) {
+                m_malformedAnswers.record(*failure, backend.value(), "order " + std::to_string(order.value()));
+            }
             logEvent(event_number::EngineOrderAnswered,
                      {{"order", order},
                       {"backend", backend},
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -254,7 +254,7 @@
     call.timeout = out.timeLeft + callTimeoutMargin;
     call.freshConnection = out.freshConnection;
     const http_call_id http = m_client->start(call, [this, id = out.call](http_event event) { handleBackendEvent(id, std::move(event)); });
-    m_calls.emplace(out.call, pending_call{http, out.request, {}});
+    m_calls.emplace(out.call, pending_call{http, out.request, out.backend, {}});
 }
 
 void gateway_task::handleBackendEvent(backend_call_id call, http_event event)
@@ -281,6 +281,7 @@
                        m_calls.erase(call);
                    },
                    [&](const http_failed &each) {
+                       m_malformedAnswers.record(each, found->second.backend.value(), callerRequestIdOf(found->second.request));
                        m_calls.erase(found);
                        run(backend_call_failed{call, each.neverSent, each.why.what, each.closedByServer});
                    },
--- a/src/tasks/gateway_task.h
+++ b/src/tasks/gateway_task.h
@@ -6,6 +6,7 @@
 #include "ends/metrics.h"
 #include "tasks/control_session.h"
 #include "tasks/front_end.h"
+#include "tasks/malformed_answers.h"
 
 #include <carawayloft/gateway/gateway_pipe.h>
 
@@ -43,6 +44,7 @@
     struct pending_call {
         http_call_id http;
         request_id request;
+        backend_id backend;
         http_started head;
     };
 
@@ -96,6 +98,7 @@
     std::function<void()> m_onStopped;
     timer_service m_timers;
     metrics m_metrics;
+    malformed_answers m_malformedAnswers{m_metrics};
     gateway_pipe m_pipe;
     request_id m_lastRequest;
     std::map<request_id, pending_request> m_requests;
