--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -87,27 +87,7 @@
 
 TEST_P(PlatformEndlessAnswers, ToOrdersAreNotKeptByControl)
 {
-    nlohmann::json all = nlohmann::json::parse(configuration(1));
-    const nlohmann::json model{{"name", "m"}, {"size", 1}, {"share", 1.0}, {"pace", 1.0}, {"loadS", 1.0}, {"warmS", 0.2}};
-    const nlohmann::json engine{{"slots", 8},
-                                {"kvTokens", 10'000},
-                                {"stride", 1},
-                                {"models", {model}},
-                                {"step_ms", 6.0},
-                                {"per_seq_ms", 0.04},
-                                {"chunk", 2'048},
-                                {"context_per_k", 0.01},
-                                {"read_per_s", 50'000},
-                                {"pairs_per_m", 0.4},
-                                {"loadsPerS", 3.0},
-                                {"loads_at_once", 6},
-                                {"usual", {{"prompt", 1'000}, {"answer", 100}}},
-                                {"keeps", 1},
-                                {"far_x", 4.0},
-                                {"formMs", 300.0},
-                                {"report_lag_ms", 200.0}};
-    all["services"].push_back({{"name", "models"}, {"maxConns", 100}, {"engine", engine}});
-    await("the configuration is taken", [&] { return put(coreAddress(1), all.dump()) == 200; });
+    await("the configuration is taken", [this] { return put(coreAddress(1), configurationWithEngines(1)) == 200; });
     startServer("models");
     await("the server is sent an order", [this] { return m_server->sentBytes() > 0; });
     std::this_thread::sleep_for(faultyTime);
--- a/tests/process/platform_processes.h
+++ b/tests/process/platform_processes.h
@@ -48,6 +48,9 @@
     /** A configuration with one route to one plain service, and one client account. */
     static std::string configuration(int version);
 
+    /** The same with a service of engines, "models", beside it. */
+    static std::string configurationWithEngines(int version);
+
     static http_answer get(const std::string &url);
 
     /** Puts a configuration; the status, zero without an answer. */
