Command line and framing: one wait, one rule for statuses without a body

The wait for a call of the command line asked the event loop again and again whether it was done; it would not have ended if the loop had run out of work first. It now runs until the call ends, and says so if that never comes. The rule that 1xx and 204 state no body stood twice in body_framing.

--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -44,8 +44,7 @@
     asio::io_context context;
     const std::unique_ptr<http_client> client = http_client::create(context);
     http_answer answer;
-    std::optional<error> failure;
-    bool isDone = false;
+    std::optional<error> failure = error{error_kind::ConnectionFailed, "the call has not ended", {}};
     client->start(call, [&](const http_event &event) {
         std::visit(overloaded{
                        [&](const http_started &head) {
@@ -54,17 +53,18 @@
                            answer.location = location == head.headers.end() ? std::string() : location->second;
                        },
                        [&](const http_received &received) { answer.body += received.bytes; },
-                       [&](const http_finished &) { isDone = true; },
+                       [&](const http_finished &) {
+                           failure.reset();
+                           context.stop();
+                       },
                        [&](const http_failed &failed) {
                            failure = failed.why;
-                           isDone = true;
+                           context.stop();
                        },
                    },
                    event);
     });
-    while (!isDone) {
-        context.run_one();
-    }
+    context.run();
     if (failure) {
         return error{failure->kind, call.url + ": " + failure->what, "check --control and that the control replicas run"};
     }
--- a/src/ends/body_framing.cpp
+++ b/src/ends/body_framing.cpp
@@ -43,11 +43,16 @@
            && strncasecmp(elements.front().data(), chunkedCoding.data(), chunkedCoding.size()) == 0;
 }
 
+/** Whether a server must not state a body with the status (RFC 9112, section 6.1; RFC 9110, section 8.6). */
+static bool mustBeBare(std::uint32_t status)
+{
+    return http_status::isInformational(status) || status == http_status::noContent;
+}
+
 static std::variant<body_framing, answer_fault> readLength(const std::string &stated, const framing_context &context)
 {
     const std::optional<std::uint64_t> length = parseLength(stated);
-    const bool isBare = http_status::isInformational(context.status) || context.status == http_status::noContent;
-    if (!length || (isBare && *length > 0)) {
+    if (!length || (mustBeBare(context.status) && *length > 0)) {
         return answer_fault::Framing;
     }
     return body_framing(body_with_length{*length});
@@ -55,8 +60,7 @@
 
 static std::variant<body_framing, answer_fault> readCoding(const std::string &codings, const framing_context &context)
 {
-    const bool isBare = http_status::isInformational(context.status) || context.status == http_status::noContent;
-    if (isBare || context.isHttp10 || !isChunked(codings)) {
+    if (mustBeBare(context.status) || context.isHttp10 || !isChunked(codings)) {
         return answer_fault::Framing;
     }
     return body_framing(body_in_chunks{});
