Test: chunks arrive once where their reader pauses

libcurl hands the chunks over as they come since they are read here, and keeps them while a call is paused; 20,000 chunks with a pause behind each piece give the whole body once.

--- a/tests/ends/malformed_answers_test.cpp
+++ b/tests/ends/malformed_answers_test.cpp
@@ -156,6 +156,43 @@
     }
 }
 
+TEST_F(HttpAnswers, InChunksArriveOnceWhereTheirReaderPauses)
+{
+    std::string chunks;
+    std::string whole;
+    for (int i = 0; i < 20'000; ++i) {
+        const std::string piece = std::to_string(i) + "\n";
+        chunks += "0" + std::to_string(piece.size()) + ";pause\r\n" + piece + "\r\n";
+        whole += piece;
+    }
+    raw_answer_server server(context, chunkedAnswer(chunks + "0\r\n\r\n"), {});
+    http_call what;
+    what.url = server.url();
+    what.timeout = 2 * timeLimit;
+    std::string body;
+    bool isDone = false;
+    std::size_t pauses = 0;
+    http_call_id id;
+    id = client->start(what, [&](const http_event &event) {
+        if (const auto *received = std::get_if<http_received>(&event)) {
+            body += received->bytes;
+            ++pauses;
+            client->setPaused(id, true);
+            asio::post(context, [&] { client->setPaused(id, false); });
+        } else {
+            isDone = !std::holds_alternative<http_started>(event);
+        }
+    });
+    const auto until = std::chrono::steady_clock::now() + 2 * timeLimit;
+    while (!isDone && std::chrono::steady_clock::now() < until) {
+        context.run_one_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_TRUE(isDone);
+    EXPECT_GT(pauses, 1U);
+    EXPECT_EQ(body.size(), whole.size());
+    EXPECT_TRUE(body == whole);
+}
+
 // The bytes behind the last chunk would be taken for the answer to the next call.
 TEST_F(HttpAnswers, WithBytesBehindTheLastChunkEndTheConnection)
 {
