--- a/fuzz/answer_fuzz.cpp
+++ b/fuzz/answer_fuzz.cpp
@@ -59,11 +59,6 @@
     return 0;
 }
 
-static std::vector<std::uint8_t> bytesOf(const std::string &text)
-{
-    return {text.begin(), text.end()};
-}
-
 std::vector<std::vector<std::uint8_t>> fuzzSeeds()
 {
     return {bytesOf("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n c\r\n\r\nokmore"),
--- a/fuzz/request_fuzz.cpp
+++ b/fuzz/request_fuzz.cpp
@@ -71,11 +71,6 @@
     return 0;
 }
 
-static std::vector<std::uint8_t> bytesOf(const std::string &text)
-{
-    return {text.begin(), text.end()};
-}
-
 std::vector<std::vector<std::uint8_t>> fuzzSeeds()
 {
     return {bytesOf("GET /a?b=c HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\n\r\n"),
--- a/tests/process/backend_announcement.cpp
+++ b/tests/process/backend_announcement.cpp
@@ -4,8 +4,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+
 namespace carawayloft::test_support {
 
+static constexpr std::chrono::milliseconds announcementPeriod{100};
+
 void announce(const std::string &control, const backend_announcement &what)
 {
     http_question question;
@@ -23,4 +27,15 @@
     ask(question);
 }
 
+repeated_announcement::repeated_announcement(const std::string &control, const backend_announcement &what)
+    : m_thread([control, next = what](const std::stop_token &stop) mutable {
+        while (!stop.stop_requested()) {
+            ++next.sequence;
+            announce(control, next);
+            std::this_thread::sleep_for(announcementPeriod);
+        }
+    })
+{
+}
+
 } // namespace carawayloft::test_support
--- a/tests/process/backend_announcement.h
+++ b/tests/process/backend_announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <thread>
 
 namespace carawayloft::test_support {
 
@@ -15,4 +16,14 @@
 /** Announces a ready backend server to the control replica at the address @p control. */
 void announce(const std::string &control, const backend_announcement &what);
 
+/** Announces a backend server again and again, with growing numbers, until it is destroyed. */
+class repeated_announcement
+{
+public:
+    repeated_announcement(const std::string &control, const backend_announcement &what);
+
+private:
+    std::jthread m_thread;
+};
+
 } // namespace carawayloft::test_support
--- a/tests/process/crashing_server.cpp
+++ b/tests/process/crashing_server.cpp
@@ -1,6 +1,7 @@
 #include "process/crashing_server.h"
 
 #include "process/http_call.h"
+#include "process/raw_request.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/read_until.hpp>
@@ -126,9 +127,7 @@
 
 void crashing_server::answer(const std::shared_ptr<connection> &one, const std::string &head)
 {
-    static const std::string idHeader = "X-Carawayloft-Request-Id: ";
-    const std::size_t begin = head.find(idHeader);
-    const std::string requestId = begin == std::string::npos ? std::string() : head.substr(begin, head.find("\r\n", begin) - begin) + "\r\n";
+    const std::string requestId = requestIdLine(head);
     std::string first = "HTTP/1.1 200 OK\r\nX-Carawayloft-Response-Seal: seal\r\n";
     std::string further;
     {
--- a/tests/process/scripted_server.cpp
+++ b/tests/process/scripted_server.cpp
@@ -1,7 +1,7 @@
 #include "process/scripted_server.h"
 
 #include "ends/frame_link.h"
-#include "process/backend_announcement.h"
+#include "process/raw_request.h"
 
 #include <carawayloft/core/result.h>
 
@@ -11,36 +11,20 @@
 
 namespace carawayloft::test_support {
 
-static constexpr std::chrono::milliseconds announcementPeriod{100};
-
-/** The header line with the id of the request; empty for an order, which has none. */
-static std::string requestIdLine(const std::string &head)
-{
-    const std::size_t begin = head.find("X-Carawayloft-Request-Id: ");
-    return begin == std::string::npos ? std::string() : head.substr(begin, head.find("\r\n", begin) + 2 - begin);
-}
-
 scripted_server::scripted_server(options what)
     : m_options(std::move(what))
     , m_acceptor(m_context, valueOf(parseEndpoint(endpoint(m_options.address))))
+    , m_announcing(m_options.control, {m_options.name, m_options.service, m_options.address})
 {
     accept();
     m_serving = std::thread([this] {
         const auto guard = asio::make_work_guard(m_context);
         m_context.run();
     });
-    m_announcing = std::jthread([this](const std::stop_token &stop) {
-        while (!stop.stop_requested()) {
-            announce(m_options.control, {m_options.name, m_options.service, m_options.address, ++m_announcements});
-            std::this_thread::sleep_for(announcementPeriod);
-        }
-    });
 }
 
 scripted_server::~scripted_server()
 {
-    m_announcing.request_stop();
-    m_announcing.join();
     m_context.stop();
     m_serving.join();
 }
--- a/tests/process/scripted_server.h
+++ b/tests/process/scripted_server.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "process/backend_announcement.h"
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
@@ -59,12 +61,11 @@
     asio::io_context m_context{1};
     asio::ip::tcp::acceptor m_acceptor;
     std::atomic<std::size_t> m_requests = 0;
-    int m_announcements = 0;
     std::mutex m_lock;
     std::string m_answer;
     bool m_closes = false;
     std::thread m_serving;
-    std::jthread m_announcing;
+    repeated_announcement m_announcing;
 };
 
 } // namespace carawayloft::test_support
