Answer readers: isHeadRequest says what the flag is

Names and comments alone, after a read of the whole change: the flag was called answersHead, which reads like the head of an answer, and the deleted copies stood among the members of transfer. HttpAnswers.* and AnswerReader.* pass.

--- a/src/ends/answer_head_reader.cpp
+++ b/src/ends/answer_head_reader.cpp
@@ -25,8 +25,8 @@
     return colon != std::string_view::npos && (name.empty() || isToken(name));
 }
 
-answer_head_reader::answer_head_reader(bool answersHead)
-    : m_answersHead(answersHead)
+answer_head_reader::answer_head_reader(bool isHeadRequest)
+    : m_isHeadRequest(isHeadRequest)
 {
 }
 
@@ -104,7 +104,7 @@
 
 std::optional<answer_fault> answer_head_reader::endHead()
 {
-    const auto framing = readFraming(m_head.headers, {m_head.status, m_isHttp10, m_answersHead});
+    const auto framing = readFraming(m_head.headers, {m_head.status, m_isHttp10, m_isHeadRequest});
     if (const auto *fault = std::get_if<answer_fault>(&framing)) {
         return *fault;
     }
--- a/src/ends/answer_head_reader.h
+++ b/src/ends/answer_head_reader.h
@@ -17,8 +17,8 @@
 class answer_head_reader
 {
 public:
-    /** @p answersHead: the request is a HEAD request, whose answer has no body. */
-    explicit answer_head_reader(bool answersHead);
+    /** @p isHeadRequest: the answer is to a HEAD request, and so has no body. */
+    explicit answer_head_reader(bool isHeadRequest);
 
     answer_head_reader(const answer_head_reader &) = delete;
     answer_head_reader &operator=(const answer_head_reader &) = delete;
@@ -50,7 +50,7 @@
     std::optional<answer_fault> readFoldedLine(std::string_view line);
     std::optional<answer_fault> endHead();
 
-    bool m_answersHead;
+    bool m_isHeadRequest;
     phase m_phase = phase::StatusLine;
     bool m_isHttp10 = false;
     std::string m_lastName; /**< Of the field that a folded line goes on with; empty before the first one. */
--- a/src/ends/answer_reader.cpp
+++ b/src/ends/answer_reader.cpp
@@ -4,8 +4,8 @@
 
 namespace carawayloft {
 
-answer_reader::answer_reader(bool answersHead)
-    : m_headReader(answersHead)
+answer_reader::answer_reader(bool isHeadRequest)
+    : m_headReader(isHeadRequest)
 {
 }
 
--- a/src/ends/answer_reader.h
+++ b/src/ends/answer_reader.h
@@ -21,8 +21,8 @@
     /** More bytes of heads, informational ones included, are a fault. */
     static constexpr std::size_t maxHeadBytes = std::size_t{64} << 10U;
 
-    /** @p answersHead: the request is a HEAD request, whose answer has no body. */
-    explicit answer_reader(bool answersHead);
+    /** @p isHeadRequest: the answer is to a HEAD request, and so has no body. */
+    explicit answer_reader(bool isHeadRequest);
 
     /** Takes the next line of a head with its line end. After a fault nothing of the answer may be used. */
     std::optional<answer_fault> addHeadLine(std::string_view line);
--- a/src/ends/body_framing.cpp
+++ b/src/ends/body_framing.cpp
@@ -84,7 +84,7 @@
     } else if (coding != headers.end()) {
         framing = readCoding(coding->second, context);
     }
-    const bool hasNoBody = context.answersHead || http_status::hasNoBody(context.status);
+    const bool hasNoBody = context.isHeadRequest || http_status::hasNoBody(context.status);
     return hasNoBody && std::holds_alternative<body_framing>(framing) ? body_framing(no_body{}) : framing;
 }
 
--- a/src/ends/body_framing.h
+++ b/src/ends/body_framing.h
@@ -33,7 +33,7 @@
 struct framing_context {
     std::uint32_t status = 0;
     bool isHttp10 = false;
-    bool answersHead = false; /**< The request is a HEAD request, whose answer has no body. */
+    bool isHeadRequest = false; /**< The answer is to a HEAD request, and so has no body. */
 };
 
 /** Whether a field with this name says how long the body is. */
--- a/src/ends/http_client.cpp
+++ b/src/ends/http_client.cpp
@@ -28,6 +28,9 @@
     {
     }
 
+    transfer(const transfer &) = delete;
+    transfer &operator=(const transfer &) = delete;
+
     http_call_id id;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
@@ -37,15 +40,12 @@
     std::size_t bodyBytes = 0;
     std::size_t maxBodyBytes = 0;
     const char *failure = nullptr; /**< Why this end broke the call off. */
-    std::optional<answer_fault> malformed; /**< The same, if what came is no answer. */
+    std::optional<answer_fault> malformed; /**< Why what came is no answer. */
     bool started = false;
     bool paused = false;
     bool issued = false; /**< A connection was there and the request went out on it, or tried to. */
     bool resendRefused = false; /**< libcurl wanted to send the request again, on another connection. */
 
-    transfer(const transfer &) = delete;
-    transfer &operator=(const transfer &) = delete;
-
     ~transfer()
     {
         curl_slist_free_all(headers);
