Process test: an agent passes no malformed answer of its server on

One process with every role, its backend server replaced by one whose answers have a broken name: the entry answers 504, as for every request that may have run, with the outcome unknown, and the log names the server.

--- a/tests/process/malformed_answers_test.cpp
+++ b/tests/process/malformed_answers_test.cpp
@@ -1,7 +1,9 @@
 #include "ends/frame_link.h"
+#include "process/cluster.h"
 #include "process/platform_processes.h"
 #include "process/scripted_server.h"
 #include "support/malformed_answer.h"
+#include "support/raw_answer_server.h"
 
 #include <asio/read.hpp>
 #include <asio/write.hpp>
@@ -236,3 +238,41 @@
     EXPECT_NE(log.find(R"("outcome":"unanswered")"), std::string::npos) << log;
     EXPECT_EQ(log.find(R"("outcome":"begun")"), std::string::npos);
 }
+
+// An agent passed the malformed answer of its server on to the entry, and so to the caller.
+TEST(AgentMalformedAnswers, ReachNoCaller)
+{
+    cluster_options options;
+    options.together = true;
+    options.controls = options.entries = options.records = 1;
+    options.engines = 0;
+    cluster cluster(options);
+    cluster.bringUp();
+    cluster.process("records-1").kill();
+    asio::io_context context;
+    raw_answer_server server(context, answerWith("X Blank: 1\r\n"), {});
+    const std::string load = R"({"running":0,"waiting":0,"cold":false})";
+    server.answerOthers("GET /load", "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(load.size()) + "\r\n\r\n" + load);
+    std::jthread serving([&](const std::stop_token &stop) {
+        while (!stop.stop_requested()) {
+            context.run_one_for(std::chrono::milliseconds(10));
+        }
+    });
+    http_question announcement;
+    announcement.method = "POST";
+    announcement.url = cluster.agentUrl("records-1") + "/announce";
+    announcement.body = nlohmann::json{
+        {"url", server.url().substr(0, server.url().size() - 1)},
+        {"service", "checklist-records"},
+        {"kind", "plain"},
+        {"cold_limit", 4},
+        {"warm_limit", 4},
+        {"checks_fencing", false},
+        {"leaving", false}}.dump();
+    ASSERT_EQ(ask(announcement).status, 204);
+    http_answer answer = ask(cluster.signOff(1, "march", "{}"));
+    EXPECT_EQ(answer.status, 504) << answer.body; // Of an entry, for every request that may have run.
+    EXPECT_EQ(answer.headers["carawayloft-outcome"], "unknown");
+    EXPECT_NE(answer.body, "ok");
+    EXPECT_NE(cluster.process("all").log().find("malformed_answer"), std::string::npos);
+}
--- a/tests/support/raw_answer_server.h
+++ b/tests/support/raw_answer_server.h
@@ -57,6 +57,13 @@
         m_closesNext = true;
     }
 
+    /** Answers requests whose head begins with @p beginning with @p answer. */
+    void answerOthers(std::string beginning, std::string answer)
+    {
+        m_otherBeginning = std::move(beginning);
+        m_otherAnswer = std::move(answer);
+    }
+
     /** Closes each connection behind the answer. */
     void closeAfterAnswers()
     {
@@ -104,7 +111,8 @@
             return;
         }
         std::error_code failure;
-        asio::write(one->socket, asio::buffer(m_answer), failure);
+        const bool isOther = !m_otherBeginning.empty() && m_lastHead.starts_with(m_otherBeginning);
+        asio::write(one->socket, asio::buffer(isOther ? m_otherAnswer : m_answer), failure);
         if (m_closesAfterAnswers) {
             return;
         }
@@ -129,6 +137,8 @@
     asio::ip::tcp::acceptor m_acceptor;
     std::string m_answer;
     std::string m_repeated;
+    std::string m_otherBeginning;
+    std::string m_otherAnswer;
     std::size_t m_connections = 0;
     std::size_t m_requests = 0;
     std::string m_lastHead;
