--- a/review/stand-in-3/lab.h
+++ b/review/stand-in-3/lab.h
@@ -362,13 +362,13 @@
                    0);
     }
 
-    process &startGateway(int host = 40, bool pipeLogs = false, rlim_t descriptors = 0)
+    process &startGateway(int host = 40, bool pipeLogs = false, rlim_t descriptors = 0, int memoryMb = 260)
     {
         const std::string name = "front-" + std::to_string(host);
         return run(name,
                    common(name, host) + "bootstrap=true\nrole=gateway\nmachineClass=front\nserves=front\nlisten.front=" + ip(host) + ":"
                        + std::to_string(frontPort) + "\nlisten.ready=" + ip(host) + ":" + std::to_string(readyPort)
-                       + "\nlossCounts=false\nlimits.cpuShare=0.19\nlimits.memoryMb=260\nlimits.maxFds=4100\nlimits.diskMb=0\n",
+                       + "\nlossCounts=false\nlimits.cpuShare=0.19\nlimits.memoryMb=" + std::to_string(memoryMb) + "\nlimits.maxFds=4100\nlimits.diskMb=0\n",
                    pipeLogs,
                    descriptors);
     }
