A vote moves to its successor before the replaced machine goes

What callers saw: a control machine was replaced as planned, and while its vote still counted, one of the other two lost its disk. From then on no replica led: every read of the configuration got 503, no change was taken, gateways refused requests with keys, for good.

Cause: votes belonged to the first machines. A successor that had caught up stayed a learner until the old machine had been silent for 3 s, since a fourth voter would have given its zone half of the votes. The same class: two successors became the fourth and fifth voter whatever there was to bear, so that three replaced machines were a majority; the leader's own zone was not known, so it had no successor; a machine that came back with an empty disk stood behind its own successor.

Change: votes are counted in halves. A vote moves from the older replica of a zone to the younger one in two log entries, as soon as the younger one has caught up; quorums before and after each entry intersect, and no step bears less in machines or zones.

New: event 414 members_changed, metrics log_own_votes and log_half_voters.

--- a/include/carawayloft/control/control_pipe.h
+++ b/include/carawayloft/control/control_pipe.h
@@ -86,6 +86,7 @@
     void handleInput(const operator_intent &in);
     void handleInput(const operator_claim_settlement &in);
     void handleInput(const operator_read &in);
+    void handleInput(const member_described &in);
     void handleInput(const control_stop &in);
 
     void handleLinkMessage(link_id link, const subscribe &message);
--- a/include/carawayloft/control/control_pipe_messages.h
+++ b/include/carawayloft/control/control_pipe_messages.h
@@ -51,6 +51,11 @@
     operator_request_token token;
 };
 
+/** A replica, this one or another, as the leader is to know it. */
+struct member_described {
+    log_member member;
+};
+
 struct control_stop {
 };
 
@@ -63,6 +68,7 @@
                                         operator_intent,
                                         operator_claim_settlement,
                                         operator_read,
+                                        member_described,
                                         control_stop>;
 
 // Outputs.
@@ -95,6 +101,11 @@
     placement_decision decision;
 };
 
+/** Another membership of the log was committed. */
+struct members_changed {
+    std::vector<log_member> members;
+};
+
 struct log_compacted {
     log_index index;
     std::size_t bytes = 0;
@@ -115,6 +126,7 @@
                                          change_in_force,
                                          placement_proposed,
                                          hosts_stranded,
+                                         members_changed,
                                          log_compacted,
                                          control_drained>;
 
--- a/include/carawayloft/control/log_entry.h
+++ b/include/carawayloft/control/log_entry.h
@@ -12,6 +12,8 @@
 enum class member_role : std::uint8_t {
     Voter,
     Learner, /**< Receives the log but does not count towards a quorum. */
+    HalfVoter, /**< Has half a vote, while a vote moves to or from it. Replicas that do not know this role count no vote for it. */
+    Retired, /**< Receives nothing, since it was silent for long; it keeps its place among the members for when it returns. */
 };
 
 /** A replica of the log and its addresses. */
--- a/include/carawayloft/control/replicated_log.h
+++ b/include/carawayloft/control/replicated_log.h
@@ -22,6 +22,7 @@
     std::uint64_t seed = 1; /**< Seed of the random election timeouts. */
     std::size_t maxEntriesPerMessage = 512;
     std::size_t maxBytesPerMessage = 1U << 20U;
+    std::size_t maxVoters = 5; /**< Learners become additional voters up to this number; 2n + 1 voters bear the loss of n. */
 };
 
 // Inputs.
@@ -132,7 +133,8 @@
 /**
  * One replica of a log replicated by the Raft algorithm (Ongaro and Ousterhout, 2014), with pre-vote,
  * a check-quorum leader that steps down when a quorum stops answering, linearizable reads by lease or
- * by a confirmed heartbeat round, learners, single-server membership changes and leadership transfer.
+ * by a confirmed heartbeat round, learners, leadership transfer, and membership changes of at most one
+ * vote each, by which a vote moves from one replica to another in two halves (voting.h).
  * It has no socket, disk or clock.
  */
 class replicated_log
@@ -188,6 +190,7 @@
         log_index next;
         log_index matched;
         std::uint64_t acknowledgedRound = 0; /**< Latest heartbeat round that the replica answered. */
+        time_point knownSince;
         time_point lastReplyAt;
         bool probing = true; /**< Sends one append at a time until the last matching entry is found. */
         std::uint64_t snapshotRound = 0; /**< Heartbeat round in which the pending snapshot was sent, or zero. */
@@ -216,7 +219,6 @@
 
     // Elections.
     bool isVoter(replica_id replica) const;
-    bool isQuorum(const std::set<replica_id> &replicas) const;
     bool isUpToDate(log_index index, log_term term) const;
     bool hasRecentLeader() const;
     void resetElectionTimer();
@@ -227,6 +229,8 @@
     void setHardState(log_term term, replica_id votedFor);
     void setRole(log_role role, replica_id leader);
     void failPendingRequests();
+    std::optional<replica_id> mostUpToDateVoter() const;
+    void leaveLeadership();
 
     // Replication.
     void append(entry_kind kind, std::vector<std::uint8_t> payload, std::vector<log_member> members, log_request_token token);
@@ -246,9 +250,7 @@
     void reloadMembers();
     bool membershipPending() const;
     bool committedInOwnTerm() const;
-    bool isSilent(const log_member &member, duration silence) const;
-    bool isCaughtUp(const log_member &member) const;
-    std::optional<std::vector<log_member>> nextMembership() const;
+    bool isCaughtUp(const peer_progress &progress) const;
     void proposeNextMembership();
     void changeMembers(std::vector<log_member> members);
 
--- a/src/codec/names.cpp
+++ b/src/codec/names.cpp
@@ -10,7 +10,7 @@
 static constexpr std::array planStates{"proposed", "confirmed", "done", "cancelled"};
 static constexpr std::array stepKinds{"open_zone", "await_capacity", "stop_new_work", "drain_groups"};
 static constexpr std::array claimStates{"running", "answered", "unknown"};
-static constexpr std::array memberRoles{"voter", "learner"};
+static constexpr std::array memberRoles{"voter", "learner", "half_voter", "retired"};
 
 template<class Enum, std::size_t Size>
 static const char *lookUp(const std::array<const char *, Size> &names, Enum value)
--- a/src/control_pipe/control_pipe.cpp
+++ b/src/control_pipe/control_pipe.cpp
@@ -112,6 +112,11 @@
     read(in.token);
 }
 
+void control_pipe::handleInput(const member_described &in)
+{
+    runLog(log_join_request{in.member});
+}
+
 void control_pipe::handleInput(const control_stop &)
 {
     if (m_stopping) {
--- a/src/control_pipe/control_pipe_apply.cpp
+++ b/src/control_pipe/control_pipe_apply.cpp
@@ -25,6 +25,9 @@
 {
     m_appliedIndex = out.entry.index;
     m_payloadBytesSinceSnapshot += out.entry.payload.size();
+    if (out.entry.kind == entry_kind::Membership) {
+        emit(members_changed{out.entry.members});
+    }
     if (out.entry.kind != entry_kind::Command) {
         return;
     }
--- a/src/control_pipe/replicated_log.cpp
+++ b/src/control_pipe/replicated_log.cpp
@@ -89,19 +89,13 @@
 
 void replicated_log::handle(const log_leadership_transfer &)
 {
-    if (m_role != log_role::Leader) {
+    const std::optional<replica_id> target = m_role == log_role::Leader ? mostUpToDateVoter() : std::nullopt;
+    if (!target) {
         return;
     }
-    const auto better = [this](const auto &left, const auto &right) {
-        return std::pair(isVoter(left.first), left.second.matched) < std::pair(isVoter(right.first), right.second.matched);
-    };
-    const auto best = std::max_element(m_progress.begin(), m_progress.end(), better);
-    if (best == m_progress.end() || !isVoter(best->first)) {
-        return;
-    }
-    m_transferTo = best->first;
+    m_transferTo = *target;
     m_transferDeadline = m_now + m_options.electionTimeout;
-    if (best->second.matched == lastIndex()) {
+    if (m_progress.at(*target).matched == lastIndex()) {
         emit(send_log_message{m_transferTo, timeout_now{m_hardState.term}});
     } else {
         sendAppend(m_transferTo, true);
--- a/src/control_pipe/replicated_log_election.cpp
+++ b/src/control_pipe/replicated_log_election.cpp
@@ -1,4 +1,5 @@
 #include <carawayloft/control/replicated_log.h>
+#include <carawayloft/control/voting.h>
 
 #include <algorithm>
 
@@ -6,20 +7,7 @@
 
 bool replicated_log::isVoter(replica_id replica) const
 {
-    return std::any_of(m_members.begin(), m_members.end(), [&](const log_member &each) { return each.replica == replica && each.role == member_role::Voter; });
-}
-
-bool replicated_log::isQuorum(const std::set<replica_id> &replicas) const
-{
-    std::size_t voters = 0;
-    std::size_t counted = 0;
-    for (const log_member &each : m_members) {
-        if (each.role == member_role::Voter) {
-            ++voters;
-            counted += replicas.contains(each.replica) ? 1 : 0;
-        }
-    }
-    return counted * 2 > voters;
+    return std::any_of(m_members.begin(), m_members.end(), [&](const log_member &each) { return each.replica == replica && halfVotesOf(each.role) > 0; });
 }
 
 bool replicated_log::isUpToDate(log_index index, log_term term) const
@@ -113,11 +101,11 @@
     setRole(log_role::Candidate, replica_id());
     const log_term term = preVote ? next(m_hardState.term) : m_hardState.term;
     for (const log_member &each : m_members) {
-        if (each.role == member_role::Voter && each.replica != m_options.self) {
+        if (halfVotesOf(each.role) > 0 && each.replica != m_options.self) {
             emit(send_log_message{each.replica, vote_request{term, lastIndex(), termAt(lastIndex()), preVote, transfer}});
         }
     }
-    if (isQuorum(m_votes)) {
+    if (isQuorum(m_members, m_votes)) {
         preVote ? startElection(false, transfer) : becomeLeader();
     }
 }
@@ -132,6 +120,30 @@
     advanceCommit();
 }
 
+/** The youngest one of several; the vote of an older one may move to a successor soon. */
+std::optional<replica_id> replicated_log::mostUpToDateVoter() const
+{
+    std::optional<replica_id> best;
+    log_index bestIndex;
+    for (const log_member &each : m_members) {
+        const auto progress = m_progress.find(each.replica);
+        if (halfVotesOf(each.role) > 0 && progress != m_progress.end() && progress->second.matched >= bestIndex) {
+            best = each.replica;
+            bestIndex = progress->second.matched;
+        }
+    }
+    return best;
+}
+
+/** Follows from here on and lets another voter start an election at once. */
+void replicated_log::leaveLeadership()
+{
+    if (const std::optional<replica_id> successor = mostUpToDateVoter()) {
+        emit(send_log_message{*successor, timeout_now{m_hardState.term}});
+    }
+    becomeFollower(m_hardState.term, replica_id());
+}
+
 void replicated_log::receive(replica_id from, const vote_request &message)
 {
     // While the leader is alive no election may start, so that a replica that was cut off does not depose it when it returns.
@@ -167,7 +179,7 @@
         return;
     }
     m_votes.insert(from);
-    if (isQuorum(m_votes)) {
+    if (isQuorum(m_members, m_votes)) {
         m_preVoting ? startElection(false, m_transferElection) : becomeLeader();
     }
 }
--- a/src/control_pipe/replicated_log_replication.cpp
+++ b/src/control_pipe/replicated_log_replication.cpp
@@ -1,4 +1,5 @@
 #include <carawayloft/control/replicated_log.h>
+#include <carawayloft/control/voting.h>
 
 #include <algorithm>
 
@@ -32,7 +33,7 @@
         m_nextHeartbeat = m_now + m_options.heartbeatPeriod;
     }
     for (const log_member &each : m_members) {
-        if (each.replica != m_options.self) {
+        if (each.replica != m_options.self && each.role != member_role::Retired) {
             sendAppend(each.replica, heartbeat);
         }
     }
@@ -44,6 +45,7 @@
     peer_progress &progress = found->second;
     if (isNew) {
         progress.next = next(lastIndex());
+        progress.knownSince = m_now;
         progress.lastReplyAt = m_now;
     }
     if (progress.next <= m_snapshot.index) {
@@ -124,7 +126,7 @@
                 replicasWithEntry.insert(replica);
             }
         }
-        if (isQuorum(replicasWithEntry)) {
+        if (isQuorum(m_members, replicasWithEntry)) {
             advanceCommitTo(at);
             return;
         }
@@ -143,7 +145,7 @@
     }
     // A leader that is no longer a voter steps down once the change is committed.
     if (m_role == log_role::Leader && !isVoter(m_options.self) && !membershipPending()) {
-        becomeFollower(m_hardState.term, replica_id());
+        leaveLeadership();
     }
 }
 
@@ -156,7 +158,7 @@
                 responding.insert(replica);
             }
         }
-        if (!isQuorum(responding)) {
+        if (!isQuorum(m_members, responding)) {
             return;
         }
         emit(read_ready{m_pendingReads.front().token});
@@ -172,7 +174,7 @@
             responding.insert(replica);
         }
     }
-    if (!isQuorum(responding)) {
+    if (!isQuorum(m_members, responding)) {
         becomeFollower(m_hardState.term, replica_id());
     } else if (m_transferTo.value() != 0 && m_now >= m_transferDeadline) {
         m_transferTo = replica_id();
@@ -192,7 +194,7 @@
             leaseSupporters.insert(replica);
         }
     }
-    return isQuorum(leaseSupporters);
+    return isQuorum(m_members, leaseSupporters);
 }
 
 void replicated_log::receive(replica_id from, const append_request &message)
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -173,6 +173,8 @@
         return {"disk_writable", severity::Info};
     case event_number::OperatorRequestAnswered:
         return {"operator_request_answered", severity::Info};
+    case event_number::MembersChanged:
+        return {"members_changed", severity::Info};
     case event_number::GroupPlaced:
         return {"group_placed", severity::Info};
     case event_number::GroupDissolved:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -90,6 +90,7 @@
     DiskFull = 411,
     DiskWritable = 412,
     OperatorRequestAnswered = 413,
+    MembersChanged = 414,
     GroupPlaced = 500,
     GroupDissolved = 501,
     MemberReplaced = 502,
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -304,6 +304,7 @@
     if (own != loaded.control.end()) {
         loaded.replica->frames = own->frames;
         loaded.replica->http = own->http;
+        loaded.replica->maxVoters = loaded.control.size();
     } else {
         in.fail(nullptr,
                 "replica.number " + std::to_string(loaded.replica->number.value()) + " is not among control.peers",
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -51,6 +51,7 @@
     std::string dataFolder;
     duration heartbeatPeriod{0};
     duration electionTimeout{0};
+    std::size_t maxVoters = 5; /**< Of the replicated log; further replicas receive it without a vote. */
     std::uint64_t entriesToCompact = 0;
     duration repairDelay{0};
     duration settleTime{0};
--- a/src/tasks/control_task.cpp
+++ b/src/tasks/control_task.cpp
@@ -82,6 +82,9 @@
 void control_task::addLogMembers()
 {
     for (const log_member &each : m_pipe->log().members()) {
+        if (each.role == member_role::Retired) {
+            continue;
+        }
         addReplica({replicaNumberOf(each.replica), each.frames, each.http, each.zone});
     }
 }
@@ -132,25 +135,28 @@
     } else if (!m_pipe) {
         return;
     } else if (auto *traffic = std::get_if<log_traffic>(&message)) {
+        if (link && isForEarlierDisk(*traffic)) {
+            link->send(join_request{ownMember()}); // All replicas that the settings name may have been replaced meanwhile.
+        }
         run(replica_message{std::move(*traffic)});
     } else if (const auto *mirrored = std::get_if<publish_fleet>(&message)) {
         runFleet(fleet_mirrored{*mirrored});
     } else if (const auto *report = std::get_if<gateway_report>(&message); report != nullptr && link) {
         handleGatewayReport(m_links.idOf(link), *report);
+    } else if (const auto *join = std::get_if<join_request>(&message)) {
+        addReplica({replicaNumberOf(join->member.replica), join->member.frames, join->member.http, join->member.zone});
+        sendLeaderAddress(join->member);
+        run(member_described{join->member});
     } else if (link) {
-        if (const auto *join = std::get_if<join_request>(&message)) {
-            addReplica({replicaNumberOf(join->member.replica), join->member.frames, join->member.http, join->member.zone});
-            sendLeaderAddress(join->member);
-        }
         run(link_message{m_links.idOf(link), std::move(message)});
     }
 }
 
-/** Only the leader admits a replica, but a joining replica may know just the seeds; this tells it the leader's addresses. */
+/** Only the leader admits a replica, and needs its replies; but a joining replica may know just the seeds, or none that is left. */
 void control_task::sendLeaderAddress(const log_member &joining)
 {
     const log_member *leader = m_pipe->log().liveLeader(monotonicNow());
-    if (leader != nullptr && leader->replica != m_self && leader->replica != joining.replica) {
+    if (leader != nullptr && leader->replica != joining.replica) {
         m_peers.send(joining.frames, join_request{*leader});
     }
 }
@@ -307,6 +313,26 @@
     }
 }
 
+static std::string numbersOf(const std::vector<log_member> &members, member_role role)
+{
+    std::string numbers;
+    for (const log_member &each : members) {
+        if (each.role == role) {
+            numbers += (numbers.empty() ? "" : ",") + std::to_string(replicaNumberOf(each.replica).value());
+        }
+    }
+    return numbers;
+}
+
+void control_task::execute(const members_changed &out)
+{
+    logEvent(event_number::MembersChanged,
+             {{"voters", numbersOf(out.members, member_role::Voter)},
+              {"half_voters", numbersOf(out.members, member_role::HalfVoter)},
+              {"learners", numbersOf(out.members, member_role::Learner)},
+              {"retired", numbersOf(out.members, member_role::Retired)}});
+}
+
 void control_task::execute(const log_compacted &out)
 {
     logEvent(event_number::SnapshotTaken, {{"index", out.index}, {"bytes", out.bytes}});
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -64,6 +64,9 @@
     status joinLog();
     status storeIdentity(replica_id self);
     void requestJoin();
+    log_member ownMember() const;
+    /** Whether the message is for this replica as it was before it lost its disk. */
+    bool isForEarlierDisk(const log_traffic &traffic) const;
     void handle(const stop_requested &);
     void handle(const replicas_added &in);
     void addReplica(const control_peer &replica);
@@ -99,6 +102,7 @@
     void execute(const change_in_force &out);
     void execute(const placement_proposed &out);
     void execute(const hosts_stranded &out);
+    void execute(const members_changed &out);
     void execute(const log_compacted &out);
     void execute(const control_drained &out);
     /** flush() has stored these outputs already. */
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -65,7 +65,7 @@
 void control_task::execute(const mirror_fleet &out)
 {
     for (const log_member &each : m_pipe->log().members()) {
-        if (each.replica != m_self) {
+        if (each.replica != m_self && each.role != member_role::Retired) {
             m_peers.send(each.frames, out.publication);
         }
     }
@@ -290,7 +290,9 @@
 {
     std::vector<endpoint> frames;
     for (const log_member &each : m_pipe->log().members()) {
-        frames.push_back(each.frames);
+        if (each.role != member_role::Retired) {
+            frames.push_back(each.frames);
+        }
     }
     return frames;
 }
--- a/src/tasks/control_task_operators.cpp
+++ b/src/tasks/control_task_operators.cpp
@@ -6,6 +6,7 @@
 #include "ends/event_log.h"
 #include "tasks/task_identity.h"
 
+#include <carawayloft/control/voting.h>
 #include <carawayloft/core/overloaded.h>
 
 #include <charconv>
@@ -183,9 +184,15 @@
         m_metrics.setGauge("carawayloft_revision", {}, static_cast<double>(m_pipe->fleet().at().value()));
         m_metrics.setGauge("carawayloft_log_index", {}, static_cast<double>(m_pipe->log().lastIndex().value()));
         const auto &members = m_pipe->log().members();
-        const auto voters = std::count_if(members.begin(), members.end(), [](const log_member &each) { return each.role == member_role::Voter; });
-        m_metrics.setGauge("carawayloft_log_voters", {}, static_cast<double>(voters));
-        m_metrics.setGauge("carawayloft_log_learners", {}, static_cast<double>(members.size()) - static_cast<double>(voters));
+        const auto count = [&](member_role role) {
+            return static_cast<double>(std::count_if(members.begin(), members.end(), [&](const log_member &each) { return each.role == role; }));
+        };
+        const auto own = std::find_if(members.begin(), members.end(), [this](const log_member &each) { return each.replica == m_self; });
+        const std::size_t ownHalfVotes = own == members.end() ? 0 : halfVotesOf(own->role);
+        m_metrics.setGauge("carawayloft_log_own_votes", {}, static_cast<double>(ownHalfVotes) / static_cast<double>(halfVotesOf(member_role::Voter)));
+        m_metrics.setGauge("carawayloft_log_voters", {}, count(member_role::Voter));
+        m_metrics.setGauge("carawayloft_log_half_voters", {}, count(member_role::HalfVoter));
+        m_metrics.setGauge("carawayloft_log_learners", {}, count(member_role::Learner));
         m_metrics.setGauge("carawayloft_log_bytes", {}, static_cast<double>(m_store.segmentBytes()));
         m_metrics.setGauge("carawayloft_claims", {}, static_cast<double>(m_pipe->claims().size()));
         m_metrics.setGauge("carawayloft_subscribers", {}, static_cast<double>(m_pipe->published().subscribers()));
--- a/src/tasks/control_task_start.cpp
+++ b/src/tasks/control_task_start.cpp
@@ -171,6 +171,7 @@
     options.heartbeatPeriod = m_settings.replica->heartbeatPeriod;
     options.electionTimeout = m_settings.replica->electionTimeout;
     options.seed = m_random();
+    options.maxVoters = m_settings.replica->maxVoters;
     auto log = replicated_log::create(options, std::move(recovered), now);
     if (failed(log)) {
         return errorOf(log);
@@ -250,19 +251,29 @@
     addLogMembers();
     const auto &members = m_pipe->log().members();
     const auto own = std::find_if(members.begin(), members.end(), [this](const log_member &each) { return each.replica == m_self; });
-    const bool isCurrentMember = own != members.end() && own->zone == m_settings.zone;
+    const bool isCurrentMember = own != members.end() && own->role != member_role::Retired && own->zone == m_settings.zone;
     // A member that knows no leader may have been removed from the membership while it was down.
     if (isCurrentMember && m_pipe->log().leader().value() != 0) {
         return;
     }
-    const replica_settings &replicaSettings = *m_settings.replica;
+    run(member_described{ownMember()});
     for (const auto &[number, each] : m_directory.all()) {
-        if (number != replicaSettings.number) {
-            m_peers.send(each.frames, join_request{{m_self, member_role::Learner, replicaSettings.frames, replicaSettings.http, m_settings.zone}});
+        if (number != m_settings.replica->number) {
+            m_peers.send(each.frames, join_request{ownMember()});
         }
     }
 }
 
+log_member control_task::ownMember() const
+{
+    return {m_self, member_role::Learner, m_settings.replica->frames, m_settings.replica->http, m_settings.zone};
+}
+
+bool control_task::isForEarlierDisk(const log_traffic &traffic) const
+{
+    return traffic.to != m_self && replicaNumberOf(traffic.to) == m_settings.replica->number;
+}
+
 bool control_task::isFormed() const
 {
     const bool isInitialDisk = m_self == makeReplicaId(m_settings.replica->number, initialDiskIncarnation);
--- /dev/null
+++ b/tests/process/replaced_core_test.cpp
@@ -0,0 +1,118 @@
+#include "process/platform_processes.h"
+
+#include <csignal>
+#include <map>
+
+using namespace carawayloft::test_support;
+
+namespace {
+
+/** How a machine goes. */
+enum class departure : std::uint8_t {
+    Stopped,
+    Killed,
+};
+
+int signalOf(departure how)
+{
+    return how == departure::Killed ? SIGKILL : SIGTERM;
+}
+
+/** Three control replicas in three zones that bear the loss of one machine; the successor of number n is number n + 3. */
+class ReplacedCore : public platform_processes, public ::testing::WithParamInterface<departure>
+{
+protected:
+    static constexpr int initialReplicas = 3;
+
+    ReplacedCore()
+    {
+        for (int host = 1; host <= initialReplicas; ++host) {
+            startReplica(host, "true");
+        }
+        await("the configuration is taken", [this] { return accepted(1); });
+    }
+
+    static std::string nameOf(int host)
+    {
+        return "core-" + std::to_string(host);
+    }
+
+    void startReplica(int host, const std::string &first)
+    {
+        const std::string zone = "zone=zone-" + std::to_string((host - 1) % initialReplicas);
+        writeCore(nameOf(host), host, initialReplicas, zone + "\ntolerate.machines=1\ntolerate.zones=1\n");
+        m_replicas[host] = start(nameOf(host), first);
+    }
+
+    /** Starts the successor of a replica and waits until the vote is its own. */
+    void startSuccessor(int host)
+    {
+        startReplica(host + initialReplicas, "false");
+        await("the successor has the vote", [&] { return metric(host + initialReplicas, "carawayloft_log_own_votes") == 1; });
+    }
+
+    void removeReplica(int host, departure how)
+    {
+        m_replicas.at(host)->signal(signalOf(how));
+        m_replicas.at(host)->wait();
+        m_replicas.erase(host);
+    }
+
+    void loseDisk(int host)
+    {
+        m_replicas.at(host)->kill();
+        wipeDisk(nameOf(host));
+        startReplica(host, "false");
+    }
+
+    bool accepted(int version) const
+    {
+        for (const auto &[host, process] : m_replicas) {
+            if (put(coreAddress(host), configuration(version)) == 200) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    bool isReadBack(int version) const
+    {
+        for (const auto &[host, process] : m_replicas) {
+            const http_answer answer = get(coreAddress(host) + "/-/config");
+            if (answer.status == 200) {
+                EXPECT_EQ(answer.body, configuration(version));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    std::map<int, std::unique_ptr<child>> m_replicas;
+};
+
+} // namespace
+
+// A replaced replica kept its vote until it had been silent for 3 s: with another disk lost meanwhile, no replica led any more.
+TEST_P(ReplacedCore, ADiskThatIsLostRightAfterAReplacedMachineWentLeavesALeader)
+{
+    for (int replaced = 1; replaced <= initialReplicas; ++replaced) {
+        const int version = replaced * 2;
+        startSuccessor(replaced);
+        await("a change is acknowledged", [&] { return accepted(version); });
+        removeReplica(replaced, GetParam());
+        loseDisk(replaced < initialReplicas ? replaced + 1 : initialReplicas + 1);
+        await("it is read back", [&] { return isReadBack(version); });
+        await("another one is acknowledged", [&] { return accepted(version + 1); });
+        await("all but the replaced ones vote", [&] {
+            int voters = 0;
+            for (const auto &[host, process] : m_replicas) {
+                voters += metric(host, "carawayloft_log_own_votes") == 1 ? 1 : 0;
+            }
+            return voters == initialReplicas;
+        });
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(HowTheyGo, ReplacedCore, ::testing::Values(departure::Stopped, departure::Killed), [](const auto &each) {
+    return each.param == departure::Killed ? "Killed" : "Stopped";
+});
--- a/tests/support/log_cluster.h
+++ b/tests/support/log_cluster.h
@@ -26,8 +26,10 @@
     std::optional<replicated_log> log;
     recovered_log disk;
     log_index applied;
+    availability_zone_id zone;
     bool cut = false;
     bool frozen = false;
+    bool isRemoved = false; /**< It never runs again. */
 };
 
 /** A read and the last index that was known to be accepted when it was asked for. */
@@ -41,21 +43,103 @@
 class log_cluster
 {
 public:
-    log_cluster()
+    /** One voter in each of @p zones; an empty text is a zone that is not known. */
+    explicit log_cluster(const std::vector<std::string> &zones = std::vector<std::string>(replicaCount))
+        : m_maxVoters(zones.size())
     {
         std::vector<log_member> members;
-        for (std::uint32_t i = 0; i < replicaCount; ++i) {
-            members.push_back({makeReplicaId(replica_number(i + 1), initialDiskIncarnation), member_role::Voter, {}, {}, {}});
+        for (const std::string &zone : zones) {
+            const replica_number number(static_cast<std::uint32_t>(members.size() + 1));
+            members.push_back({makeReplicaId(number, initialDiskIncarnation), member_role::Voter, {}, {}, availability_zone_id(zone)});
         }
-        for (std::uint32_t i = 0; i < replicaCount; ++i) {
+        for (const log_member &member : members) {
             replica &each = m_replicas.emplace_back();
-            each.id = members[i].replica;
+            each.id = member.replica;
+            each.zone = member.zone;
             each.disk.hardState.term = log_term(1);
             each.disk.entries = {{log_index(1), log_term(1), entry_kind::Membership, {}, members}};
-            start(i);
+            start(static_cast<std::uint32_t>(m_replicas.size() - 1));
+        }
+    }
+
+    /** Starts a replica with an empty disk in this zone; returns its index. */
+    std::uint32_t addReplica(const availability_zone_id &zone)
+    {
+        const auto added = static_cast<std::uint32_t>(m_replicas.size());
+        replica &each = m_replicas.emplace_back();
+        each.id = makeReplicaId(replica_number(added + 1), initialDiskIncarnation + 1);
+        each.zone = zone;
+        start(added);
+        return added;
+    }
+
+    /** The replica goes for good. */
+    void removeReplica(std::uint32_t i)
+    {
+        crash(i);
+        m_replicas[i].isRemoved = true;
+    }
+
+    /** The replica loses its disk, whatever else is lost, and does not run. */
+    void wipe(std::uint32_t i)
+    {
+        crash(i);
+        replica &lost = m_replicas[i];
+        lost.disk = {};
+        lost.applied = log_index();
+        lost.id = makeReplicaId(replica_number(i + 1), static_cast<std::uint32_t>(lost.id.value()) + 1);
+    }
+
+    std::uint32_t size() const
+    {
+        return static_cast<std::uint32_t>(m_replicas.size());
+    }
+
+    const replica &at(std::uint32_t i) const
+    {
+        return m_replicas[i];
+    }
+
+    time_point now() const
+    {
+        return m_now;
+    }
+
+    /** Everything that is sent arrives in order for this time. */
+    void runFor(duration time)
+    {
+        for (const time_point end = m_now + time; m_now < end;) {
+            runQuietly();
         }
     }
 
+    /** Whether a new value is accepted within @p time, while what is lost stays lost and nothing else is. */
+    bool leadsWithin(duration time)
+    {
+        const log_index before = m_lastAccepted;
+        for (const time_point end = m_now + time; m_now < end;) {
+            runQuietly();
+            if (const auto leader = leaderIndex()) {
+                propose(*leader);
+            }
+            if (m_lastAccepted > before) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The replica that holds the leader lease. */
+    std::optional<std::uint32_t> leaderIndex() const
+    {
+        for (std::uint32_t i = 0; i < m_replicas.size(); ++i) {
+            if (m_replicas[i].log && !m_replicas[i].cut && m_replicas[i].log->holdsLeaderLease(m_now)) {
+                return i;
+            }
+        }
+        return std::nullopt;
+    }
+
     void pass(std::uint64_t milliseconds)
     {
         m_now += duration(static_cast<duration::rep>(milliseconds));
@@ -64,9 +148,9 @@
     void tick(std::uint32_t i)
     {
         run(i, log_tick{});
-        if (m_replicas[i].log && !isMember(i)) {
-            const std::uint32_t other = static_cast<std::uint32_t>(m_random() % replicaCount);
-            run(other, log_join_request{{m_replicas[i].id, member_role::Learner, {}, {}, {}}});
+        if (m_replicas[i].log && (!isMember(i) || m_replicas[i].log->liveLeader(m_now) == nullptr)) {
+            const std::uint32_t other = static_cast<std::uint32_t>(m_random() % m_replicas.size());
+            run(other, log_join_request{{m_replicas[i].id, member_role::Learner, {}, {}, m_replicas[i].zone}});
         }
     }
 
@@ -107,6 +191,11 @@
         run(i, log_read_request{token});
     }
 
+    void transferLeadership(std::uint32_t i)
+    {
+        run(i, log_leadership_transfer{});
+    }
+
     void crash(std::uint32_t i)
     {
         m_replicas[i].log.reset();
@@ -126,7 +215,7 @@
 
     void restart(std::uint32_t i)
     {
-        if (!m_replicas[i].log) {
+        if (!m_replicas[i].log && !m_replicas[i].isRemoved) {
             start(i);
         }
     }
@@ -228,7 +317,8 @@
     bool isMember(std::uint32_t i) const
     {
         const auto &members = m_replicas[i].log->members();
-        return std::any_of(members.begin(), members.end(), [&](const log_member &each) { return each.replica == m_replicas[i].id; });
+        return std::any_of(
+            members.begin(), members.end(), [&](const log_member &each) { return each.replica == m_replicas[i].id && each.role != member_role::Retired; });
     }
 
     std::optional<std::uint32_t> indexOf(replica_id id) const
@@ -241,14 +331,17 @@
         return std::nullopt;
     }
 
-    std::optional<std::uint32_t> leaderIndex() const
+    /** A step of time, in which every replica has its tick and every message arrives. */
+    void runQuietly()
     {
+        static constexpr std::uint64_t stepMs = 10;
+        pass(stepMs);
         for (std::uint32_t i = 0; i < m_replicas.size(); ++i) {
-            if (m_replicas[i].log && !m_replicas[i].cut && m_replicas[i].log->holdsLeaderLease(m_now)) {
-                return i;
-            }
+            tick(i);
+        }
+        while (!m_network.empty()) {
+            deliver(0, false);
         }
-        return std::nullopt;
     }
 
     void start(std::uint32_t i)
@@ -257,6 +350,7 @@
         options.self = m_replicas[i].id;
         options.seed = m_random();
         options.maxEntriesPerMessage = 3;
+        options.maxVoters = m_maxVoters;
         m_replicas[i].applied = m_replicas[i].disk.snapshot.index;
         m_replicas[i].log.emplace(valueOf(replicated_log::create(options, m_replicas[i].disk, m_now)));
     }
@@ -348,6 +442,7 @@
         RC_ASSERT(holders <= 1);
     }
 
+    std::size_t m_maxVoters;
     time_point m_now{std::chrono::hours(1)};
     std::mt19937_64 m_random{7};
     std::vector<replica> m_replicas;
