A replica that was retired while it was frozen asks to be admitted again

What callers saw: nothing at once. A control replica without a vote that was frozen or cut off for more than 10 s stayed outside the replicated log until its process was restarted, so the installation bore one loss less.

Cause: a replica asked to be admitted only when it was no member by its own log or knew no leader. This one knew the leader of the time before it was frozen, and nothing is sent to a replica that is no member any more.

Change: a leader that has been silent for an election timeout counts as none.

Evidence: ReplacedCore.AReplicaThatWasFrozenUntilItWasRetiredComesBack (processes) failed on the commit before: no learner 30 s after the replica went on.

--- a/src/tasks/control_task_start.cpp
+++ b/src/tasks/control_task_start.cpp
@@ -252,8 +252,8 @@
     const auto &members = m_pipe->log().members();
     const auto own = std::find_if(members.begin(), members.end(), [this](const log_member &each) { return each.replica == m_self; });
     const bool isCurrentMember = own != members.end() && own->role != member_role::Retired && own->zone == m_settings.zone;
-    // A member that knows no leader may have been removed from the membership while it was down.
-    if (isCurrentMember && m_pipe->log().leader().value() != 0) {
+    // A member that hears from no leader may have been retired while it was down or cut off.
+    if (isCurrentMember && m_pipe->log().liveLeader(monotonicNow()) != nullptr) {
         return;
     }
     run(member_described{ownMember()});
--- a/tests/process/replaced_core_test.cpp
+++ b/tests/process/replaced_core_test.cpp
@@ -19,7 +19,7 @@
 }
 
 /** Three control replicas in three zones that bear the loss of one machine; the successor of number n is number n + 3. */
-class ReplacedCore : public platform_processes, public ::testing::WithParamInterface<departure>
+class ReplacedCore : public platform_processes
 {
 protected:
     static constexpr int initialReplicas = 3;
@@ -87,13 +87,26 @@
         return false;
     }
 
+    int votersAmongThem() const
+    {
+        int voters = 0;
+        for (const auto &[host, process] : m_replicas) {
+            voters += metric(host, "carawayloft_log_own_votes") == 1 ? 1 : 0;
+        }
+        return voters;
+    }
+
     std::map<int, std::unique_ptr<child>> m_replicas;
 };
 
+class ReplacedCoreInSeries : public ReplacedCore, public ::testing::WithParamInterface<departure>
+{
+};
+
 } // namespace
 
 // A replaced replica kept its vote until it had been silent for 3 s: with another disk lost meanwhile, no replica led any more.
-TEST_P(ReplacedCore, ADiskThatIsLostRightAfterAReplacedMachineWentLeavesALeader)
+TEST_P(ReplacedCoreInSeries, ADiskThatIsLostRightAfterAReplacedMachineWentLeavesALeader)
 {
     for (int replaced = 1; replaced <= initialReplicas; ++replaced) {
         const int version = replaced * 2;
@@ -103,16 +116,22 @@
         loseDisk(replaced < initialReplicas ? replaced + 1 : initialReplicas + 1);
         await("it is read back", [&] { return isReadBack(version); });
         await("another one is acknowledged", [&] { return accepted(version + 1); });
-        await("all but the replaced ones vote", [&] {
-            int voters = 0;
-            for (const auto &[host, process] : m_replicas) {
-                voters += metric(host, "carawayloft_log_own_votes") == 1 ? 1 : 0;
-            }
-            return voters == initialReplicas;
-        });
+        await("all but the replaced ones vote", [this] { return votersAmongThem() == initialReplicas; });
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(HowTheyGo, ReplacedCore, ::testing::Values(departure::Stopped, departure::Killed), [](const auto &each) {
+INSTANTIATE_TEST_SUITE_P(HowTheyGo, ReplacedCoreInSeries, ::testing::Values(departure::Stopped, departure::Killed), [](const auto &each) {
     return each.param == departure::Killed ? "Killed" : "Stopped";
 });
+
+// A replica that was frozen until it was removed went on to take the leader of that time for alive, and never came back.
+TEST_F(ReplacedCore, AReplicaThatWasFrozenUntilItWasRetiredComesBack)
+{
+    startSuccessor(1);
+    m_replicas.at(1)->signal(SIGSTOP);
+    await("the frozen replica is retired", [this] { return metric(4, "carawayloft_log_learners") == 0; });
+    await("a change is acknowledged", [this] { return accepted(2); });
+    m_replicas.at(1)->signal(SIGCONT);
+    await("it is a learner again", [this] { return metric(4, "carawayloft_log_learners") == 1; });
+    await("it has caught up", [this] { return metric(1, "carawayloft_log_index") == metric(4, "carawayloft_log_index"); });
+}
