A gateway looks for the leader among the replicas of its latest grant

What callers saw: once all control machines that a gateway's settings name had been replaced, the next change of leader left the gateway unready and without the right to serve requests with keys, for good.

Cause: each grant lists the current replicas, and the gateway dropped the list. It tried the replicas of its settings only.

Change: leader_finder also tries the replicas that the leader listed last; each list replaces the one before, so that replicas that are gone cost no attempts after a series of replacements.

--- a/include/carawayloft/control/leader_finder.h
+++ b/include/carawayloft/control/leader_finder.h
@@ -31,6 +31,11 @@
     std::vector<endpoint> replicas;
 };
 
+/** All current replicas, as the leader names them. Replaces the earlier list; the other known replicas stay. */
+struct replicas_listed {
+    std::vector<endpoint> replicas;
+};
+
 // Outputs.
 
 /** Connect to this replica and drop the current connection, if any. */
@@ -46,7 +51,7 @@
 class leader_finder
 {
 public:
-    using input = std::variant<finder_tick, control_connected, control_disconnected, leader_message_received, leader_redirect, replicas_discovered>;
+    using input = std::variant<finder_tick, control_connected, control_disconnected, leader_message_received, leader_redirect, replicas_discovered, replicas_listed>;
     using output = std::variant<connect_to_control, request_publications>;
 
     /** Time without a message from the leader after which another replica is tried, unless the caller needs a shorter one. */
@@ -59,8 +64,10 @@
 private:
     std::vector<output> connect(const endpoint &replica, time_point now);
     std::vector<output> connectNext(time_point now);
+    std::vector<endpoint> replicasToTry() const;
 
     std::vector<endpoint> m_replicas;
+    std::vector<endpoint> m_listed;
     duration m_leaderTimeout;
     std::size_t m_nextReplica = 0;
     bool m_connecting = false;
--- a/src/control_pipe/leader_finder.cpp
+++ b/src/control_pipe/leader_finder.cpp
@@ -7,6 +7,15 @@
 static constexpr duration requestPeriod{1'000};
 static constexpr duration reconnectDelay{100};
 
+static void addMissing(std::vector<endpoint> &replicas, const std::vector<endpoint> &more)
+{
+    for (const endpoint &each : more) {
+        if (std::find(replicas.begin(), replicas.end(), each) == replicas.end()) {
+            replicas.push_back(each);
+        }
+    }
+}
+
 leader_finder::leader_finder(std::vector<endpoint> replicas, duration leaderTimeout)
     : m_replicas(std::move(replicas))
     , m_leaderTimeout(leaderTimeout)
@@ -23,17 +32,25 @@
 
 std::vector<leader_finder::output> leader_finder::connectNext(time_point now)
 {
-    return connect(m_replicas[m_nextReplica++ % m_replicas.size()], now);
+    const std::vector<endpoint> replicas = replicasToTry();
+    return connect(replicas[m_nextReplica++ % replicas.size()], now);
+}
+
+std::vector<endpoint> leader_finder::replicasToTry() const
+{
+    std::vector<endpoint> replicas = m_replicas;
+    addMissing(replicas, m_listed);
+    return replicas;
 }
 
 std::vector<leader_finder::output> leader_finder::step(const input &in, time_point now)
 {
     if (const auto *known = std::get_if<replicas_discovered>(&in)) {
-        for (const endpoint &each : known->replicas) {
-            if (std::find(m_replicas.begin(), m_replicas.end(), each) == m_replicas.end()) {
-                m_replicas.push_back(each);
-            }
-        }
+        addMissing(m_replicas, known->replicas);
+        return {};
+    }
+    if (const auto *current = std::get_if<replicas_listed>(&in)) {
+        m_listed = current->replicas;
         return {};
     }
     if (std::holds_alternative<leader_message_received>(in)) {
--- a/src/tasks/control_session.cpp
+++ b/src/tasks/control_session.cpp
@@ -44,6 +44,11 @@
     run(replicas_discovered{replicas});
 }
 
+void control_session::setListedReplicas(const std::vector<endpoint> &replicas)
+{
+    run(replicas_listed{replicas});
+}
+
 void control_session::execute(const connect_to_control &out)
 {
     if (m_link) {
--- a/src/tasks/control_session.h
+++ b/src/tasks/control_session.h
@@ -29,6 +29,9 @@
     /** Adds replicas among which to look for the leader; known ones are ignored. */
     void addReplicas(const std::vector<endpoint> &replicas);
 
+    /** Takes the leader's list of all current replicas; the leader is also looked for among them. */
+    void setListedReplicas(const std::vector<endpoint> &replicas);
+
     /** Sends to the leader; drops the message while no connection is open. */
     void execute(const send_to_control &out);
 
--- a/src/tasks/gateway_task.cpp
+++ b/src/tasks/gateway_task.cpp
@@ -80,7 +80,7 @@
           controlEndpoints(loaded),
           makeHello(loaded, process_role::Gateway),
           [this] { return m_pipe.fleet().at(); },
-          [this](peer_message message) { run(control_message{std::move(message)}); },
+          [this](peer_message message) { handleControlMessage(std::move(message)); },
           leaderTimeout)
     , m_mailbox(context.get_executor(), [this](const task_message &message) { std::visit([this](const auto &each) { handle(each); }, message); })
     , m_send(m_mailbox.sender())
@@ -145,6 +145,14 @@
     m_control.addReplicas(frames);
 }
 
+void gateway_task::handleControlMessage(peer_message message)
+{
+    if (const auto *grant = std::get_if<gateway_grant>(&message)) {
+        m_control.setListedReplicas(grant->replicas);
+    }
+    run(control_message{std::move(message)});
+}
+
 void gateway_task::handle(const stop_requested &)
 {
     if (m_stopping) {
--- a/src/tasks/gateway_task.h
+++ b/src/tasks/gateway_task.h
@@ -54,6 +54,7 @@
     void serve(http_request request, std::shared_ptr<http_exchange> exchange);
     void handle(const stop_requested &);
     void handle(const replicas_added &in);
+    void handleControlMessage(peer_message message);
     /** Stops listening and completes the requests in flight. Called after the delay in which callers are to go to other gateways. */
     void drain();
     void finishStop();
--- a/tests/control/leader_finder_test.cpp
+++ b/tests/control/leader_finder_test.cpp
@@ -43,3 +43,18 @@
     EXPECT_EQ(finder.step(finder_tick{}, at(1'100)).size(), 1U);
     EXPECT_EQ(connectedTo(finder.step(finder_tick{}, at(4'500))), second);
 }
+
+TEST(LeaderFinder, TriesTheReplicasThatTheLeaderListedLast)
+{
+    const endpoint third("127.0.0.1:3");
+    const endpoint fourth("127.0.0.1:4");
+    leader_finder finder({first});
+    finder.step(replicas_listed{{first, third}}, at(0));
+    finder.step(replicas_listed{{first, fourth}}, at(1));
+    std::vector<endpoint> tried;
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        tried.push_back(connectedTo(finder.step(finder_tick{}, at(1'000 * (attempt + 1)))));
+        finder.step(control_disconnected{}, at(1'000 * (attempt + 1)));
+    }
+    EXPECT_EQ(tried, (std::vector<endpoint>{first, fourth, first, fourth}));
+}
--- a/tests/process/replaced_core_test.cpp
+++ b/tests/process/replaced_core_test.cpp
@@ -87,6 +87,18 @@
         return false;
     }
 
+    int leaderHost() const
+    {
+        int found = 0;
+        await("a leader", [&] {
+            for (const auto &[host, process] : m_replicas) {
+                found = metric(host, "carawayloft_leads") == 1 ? host : found;
+            }
+            return found != 0;
+        });
+        return found;
+    }
+
     int votersAmongThem() const
     {
         int voters = 0;
@@ -135,3 +147,29 @@
     await("it is a learner again", [this] { return metric(4, "carawayloft_log_learners") == 1; });
     await("it has caught up", [this] { return metric(1, "carawayloft_log_index") == metric(4, "carawayloft_log_index"); });
 }
+
+// A gateway knew the control replicas of its settings only: once all of them had been replaced, it did not find another leader.
+TEST_F(ReplacedCore, AGatewayGoesOnWhenAllReplicasThatItsSettingsNameAreGone)
+{
+    write("front",
+          common(initialReplicas) + "nodeName=front\nserves=front\nip=" + net() + "9\nlisten.front=" + net() + "9:8227\nlisten.ready=" + net() + "9:8220\n");
+    const std::unique_ptr<child> gateway = start("front", "false");
+    const auto isReady = [this] { return get(net() + "9:8220/-/ready").status == 200; };
+    await("the gateway is ready", isReady);
+    for (int replaced = 1; replaced <= initialReplicas; ++replaced) {
+        startSuccessor(replaced);
+    }
+    await("a change is acknowledged", [this] { return accepted(2); });
+    for (int replaced = 1; replaced <= initialReplicas; ++replaced) {
+        m_replicas.at(replaced)->signal(SIGTERM);
+    }
+    for (int replaced = 1; replaced <= initialReplicas; ++replaced) {
+        removeReplica(replaced, departure::Stopped);
+    }
+    loseDisk(leaderHost());
+    await("the change is read back", [this] { return isReadBack(2); });
+    const std::size_t written = gateway->log().size();
+    await("another change is acknowledged", [this] { return accepted(3); });
+    await("the gateway has it", [&] { return gateway->log().find("\"configuration_in_force\"", written) != std::string::npos; });
+    EXPECT_TRUE(isReady());
+}
