--- a/include/carawayloft/control/leader_finder.h
+++ b/include/carawayloft/control/leader_finder.h
@@ -51,7 +51,8 @@
 class leader_finder
 {
 public:
-    using input = std::variant<finder_tick, control_connected, control_disconnected, leader_message_received, leader_redirect, replicas_discovered, replicas_listed>;
+    using input
+        = std::variant<finder_tick, control_connected, control_disconnected, leader_message_received, leader_redirect, replicas_discovered, replicas_listed>;
     using output = std::variant<connect_to_control, request_publications>;
 
     /** Time without a message from the leader after which another replica is tried, unless the caller needs a shorter one. */
