A leader whose transfer is not taken up becomes a follower

Cause: the order to start an election is answered regardless of leases, so a leader that gives it holds none meanwhile. After an election timeout it took the lease back in the same term, while the order could still arrive, or be carried out by a replica that had been frozen.

Change: after the timeout the leader becomes a follower; the next leader has a later term, in which the late order has no effect.

--- a/include/carawayloft/control/replicated_log.h
+++ b/include/carawayloft/control/replicated_log.h
@@ -287,7 +287,7 @@
     std::map<log_index, log_request_token> m_pendingProposals;
     std::deque<pending_read> m_pendingReads;
     replica_id m_transferTo; /**< Target of the leadership transfer in progress, or zero. */
-    time_point m_transferDeadline; /**< The transfer is abandoned at this time. */
+    time_point m_transferDeadline; /**< A leader whose transfer is not taken up by then becomes a follower. */
 };
 
 static_assert(filter<replicated_log>);
--- a/src/control_pipe/replicated_log_replication.cpp
+++ b/src/control_pipe/replicated_log_replication.cpp
@@ -174,10 +174,10 @@
             responding.insert(replica);
         }
     }
-    if (!isQuorum(m_members, responding)) {
+    // The order to start an election may still arrive, and is answered regardless of leases: this term must have none again.
+    const bool transferFailed = m_transferTo.value() != 0 && m_now >= m_transferDeadline;
+    if (transferFailed || !isQuorum(m_members, responding)) {
         becomeFollower(m_hardState.term, replica_id());
-    } else if (m_transferTo.value() != 0 && m_now >= m_transferDeadline) {
-        m_transferTo = replica_id();
     }
 }
 
--- a/tests/control/replicated_log_test.cpp
+++ b/tests/control/replicated_log_test.cpp
@@ -258,6 +258,37 @@
     EXPECT_NE(log.role(), log_role::Leader);
 }
 
+/** Confirms to the leader whatever it sends to replica 2. */
+static void confirmAll(replicated_log &leader, const std::vector<replicated_log_output> &outputs, time_point now)
+{
+    for (const replicated_log_output &each : outputs) {
+        const auto *sent = std::get_if<send_log_message>(&each);
+        const auto *request = sent != nullptr && sent->to == idOf(2) ? std::get_if<append_request>(&sent->message) : nullptr;
+        if (request != nullptr) {
+            const log_index matched(request->previousIndex.value() + request->entries.size());
+            confirmAll(leader, leader.step(log_message_received{idOf(2), append_reply{request->term, true, matched, request->round}}, now), now);
+        }
+    }
+}
+
+// The order to start an election is answered without regard to leases; a leader that gave up waiting for it held a lease again meanwhile.
+TEST(ReplicatedLog, ALeaderWhoseTransferWasNotTakenUpHoldsNoLeaseInThatTerm)
+{
+    time_point now(std::chrono::hours(1));
+    replicated_log log = startReplica(now);
+    now += duration(1'000);
+    log.step(log_tick{}, now);
+    log.step(log_message_received{idOf(2), vote_reply{log_term(2), true, true}}, now);
+    confirmAll(log, log.step(log_message_received{idOf(2), vote_reply{log_term(2), true, false}}, now), now);
+    ASSERT_TRUE(log.holdsLeaderLease(now));
+    log.step(log_leadership_transfer{}, now);
+    for (int beat = 0; beat < 20; ++beat) {
+        now += duration(50);
+        confirmAll(log, log.step(log_tick{}, now), now);
+        EXPECT_FALSE(log.holdsLeaderLease(now) && log.term() == log_term(2)) << "after " << (beat + 1) * 50 << " ms";
+    }
+}
+
 TEST(ReplicatedLog, RejectsAnElectionTimeoutShorterThanThreeHeartbeats)
 {
     replicated_log_options options;
