Test replaced replicas also with a loss of power at all others

ReplacedCoreInSeries takes both parameters now: how the replaced machine goes, and whether all others lose power with the lost disk.

--- a/tests/process/replaced_core_test.cpp
+++ b/tests/process/replaced_core_test.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <map>
+#include <tuple>
 
 using namespace carawayloft::test_support;
 
@@ -65,6 +66,21 @@
         startReplica(host, "false");
     }
 
+    /** All lose power at once; all disks but that of @p host stay. */
+    void losePowerAndDisk(int host)
+    {
+        for (const auto &[each, process] : m_replicas) {
+            process->signal(SIGKILL);
+        }
+        for (const auto &[each, process] : m_replicas) {
+            process->kill();
+        }
+        wipeDisk(nameOf(host));
+        for (const auto &[each, process] : m_replicas) {
+            startReplica(each, "false");
+        }
+    }
+
     bool accepted(int version) const
     {
         for (const auto &[host, process] : m_replicas) {
@@ -111,7 +127,8 @@
     std::map<int, std::unique_ptr<child>> m_replicas;
 };
 
-class ReplacedCoreInSeries : public ReplacedCore, public ::testing::WithParamInterface<departure>
+/** How the replaced machine goes, and whether the others lose power with the lost disk. */
+class ReplacedCoreInSeries : public ReplacedCore, public ::testing::WithParamInterface<std::tuple<departure, bool>>
 {
 };
 
@@ -120,21 +137,27 @@
 // A replaced replica kept its vote until it had been silent for 3 s: with another disk lost meanwhile, no replica led any more.
 TEST_P(ReplacedCoreInSeries, ADiskThatIsLostRightAfterAReplacedMachineWentLeavesALeader)
 {
+    const auto [how, losePower] = GetParam();
     for (int replaced = 1; replaced <= initialReplicas; ++replaced) {
         const int version = replaced * 2;
         startSuccessor(replaced);
         await("a change is acknowledged", [&] { return accepted(version); });
-        removeReplica(replaced, GetParam());
-        loseDisk(replaced < initialReplicas ? replaced + 1 : initialReplicas + 1);
+        removeReplica(replaced, how);
+        const int lost = replaced < initialReplicas ? replaced + 1 : initialReplicas + 1;
+        losePower ? losePowerAndDisk(lost) : loseDisk(lost);
         await("it is read back", [&] { return isReadBack(version); });
         await("another one is acknowledged", [&] { return accepted(version + 1); });
         await("all but the replaced ones vote", [this] { return votersAmongThem() == initialReplicas; });
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(HowTheyGo, ReplacedCoreInSeries, ::testing::Values(departure::Stopped, departure::Killed), [](const auto &each) {
-    return each.param == departure::Killed ? "Killed" : "Stopped";
-});
+INSTANTIATE_TEST_SUITE_P(HowTheyGo,
+                         ReplacedCoreInSeries,
+                         ::testing::Combine(::testing::Values(departure::Stopped, departure::Killed), ::testing::Bool()),
+                         [](const auto &each) {
+                             const std::string how = std::get<departure>(each.param) == departure::Killed ? "Killed" : "Stopped";
+                             return how + (std::get<bool>(each.param) ? "WhileTheOthersLosePower" : "");
+                         });
 
 // A replica that was frozen until it was removed went on to take the leader of that time for alive, and never came back.
 TEST_F(ReplacedCore, AReplicaThatWasFrozenUntilItWasRetiredComesBack)
