Refuse settings whose numbers are not numbers

What operators saw: nothing yet; 'nan' was taken for a number of at least 0, and so were the losses to bear, of which the number of voters is made now.

Cause: the check was 'below 0', which is false of what is not a number.

AsManyReplicasVoteAsBearTheLossesThatAreTolerated also holds the number of voters against tolerate.

--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -89,6 +89,7 @@
 TEST(SettingsFile, RejectsInvalidValues)
 {
     EXPECT_TRUE(failed(platform::readSettings(withoutField(makeGatewaySettings(), "bounds.graceS") + "bounds.graceS=-1\n")));
+    EXPECT_TRUE(failed(platform::readSettings(withoutField(makeGatewaySettings(), "bounds.graceS") + "bounds.graceS=nan\n")));
     EXPECT_TRUE(failed(platform::readSettings(withoutField(makeGatewaySettings(), "seeds") + "seeds=nowhere\n")));
     EXPECT_TRUE(failed(platform::readSettings(withoutField(makeGatewaySettings(), "serves") + "serves=side\n")));
 }
@@ -99,3 +100,19 @@
     EXPECT_EQ(std::get<settings>(platform::readSettings(makeReplicaSettings("10.9.0.1", "true"))).replica->bootstrapMode, bootstrap_mode::Join);
     EXPECT_EQ(std::get<settings>(platform::readSettings(makeReplicaSettings("10.1.0.41", "false"))).replica->bootstrapMode, bootstrap_mode::Join);
 }
+
+// The log took up to five voters whatever the installation was to bear; when three of them were replaced machines, none led.
+TEST(SettingsFile, AsManyReplicasVoteAsBearTheLossesThatAreTolerated)
+{
+    const auto maxVoters = [](const std::string &tolerated) {
+        return std::get<settings>(platform::readSettings(makeReplicaSettings("10.1.0.41", "true") + tolerated)).replica->maxVoters;
+    };
+    EXPECT_EQ(maxVoters("tolerate.machines=1\ntolerate.zones=1\n"), 3U);
+    EXPECT_EQ(maxVoters("tolerate.machines=2\ntolerate.zones=1\n"), 5U);
+    EXPECT_EQ(maxVoters("tolerate.machines=1\ntolerate.zones=2\n"), 5U);
+    EXPECT_EQ(maxVoters(""), 5U);
+    EXPECT_EQ(maxVoters("tolerate.machines=1e300\n"), 9U);
+    for (const char *wrong : {"tolerate.machines=-1\n", "tolerate.machines=nan\n", "tolerate.zones=many\n"}) {
+        EXPECT_TRUE(failed(platform::readSettings(makeReplicaSettings("10.1.0.41", "true") + wrong))) << wrong;
+    }
+}
