No vote waits for the halves of one that is stuck in a lost zone

In the random schedules no replica led until a lost zone was back.

Cause: a zone was lost while a vote moved in it. Its halves stayed for 3 s, counted anew by each leader, and no other vote moved meanwhile. So the successor in another zone had no vote, or half of one, when the machine that it replaced went 4 s after its start.

Change: no step waits for a silent replica for more than the half second after which it counts as not ready. Halves of two silent replicas go to the younger one, a lone half and half a pair are taken back, and others move. The vote then leaves the lost zone after 3 s of silence, as a whole one does.

--- a/src/control_pipe/membership_policy.cpp
+++ b/src/control_pipe/membership_policy.cpp
@@ -66,7 +66,7 @@
         if (isReady(halves.front()) && isReady(halves.back())) {
             return withVotes(halves);
         }
-        const bool oneSilent = std::any_of(halves.begin(), halves.end(), [this](const log_member &each) { return isSilent(each, silentVoterTimeout); });
+        const bool oneSilent = std::any_of(halves.begin(), halves.end(), [this](const log_member &each) { return isSilent(each, m_options.responseTimeout); });
         return oneSilent ? withRole(halves, member_role::Learner) : m_observed.members;
     }
 
@@ -81,12 +81,12 @@
             const log_member &from = to->replica == halves.front().replica ? halves.back() : halves.front();
             return from.replica == to->replica ? raise(m_observed.members, from) : moveHalfVote(from, *to);
         }
-        const bool allSilent = std::all_of(halves.begin(), halves.end(), [this](const log_member &each) { return isSilent(each, silentVoterTimeout); });
-        const std::optional<log_member> learner = replacementFor(halves.front());
-        if (allSilent && halves.size() == 1) {
-            return withRole(halves, member_role::Learner);
+        const bool allSilent = std::all_of(halves.begin(), halves.end(), [this](const log_member &each) { return isSilent(each, m_options.responseTimeout); });
+        if (!allSilent) {
+            return m_observed.members;
         }
-        return allSilent && learner ? moveHalfVote(halves.front(), *learner) : m_observed.members;
+        // While halves wait, no other vote moves, whose replica may go any time.
+        return halves.size() == 1 ? withRole(halves, member_role::Learner) : moveHalfVote(halves.front(), halves.back());
     }
 
     /** The ready one in the zone with the fewest votes, the youngest one of several; by the same order votes begin to move. */
--- a/tests/control/log_replacement_test.cpp
+++ b/tests/control/log_replacement_test.cpp
@@ -184,6 +184,30 @@
 static const tolerated_losses oneMachine{1};
 static const tolerated_losses twoMachines{2};
 
+// A zone was lost while a vote moved in it. No vote moved in the other zones until the leader had waited for 3 s, and their machines might go before.
+TEST(LogReplacementSchedule, AVoteThatIsStuckInALostZoneDoesNotHoldBackTheOthers)
+{
+    replaced_fleet fleet({"a", "b", "c"}, oneMachine);
+    ASSERT_TRUE(fleet.recovers());
+    const std::vector<fleet_action> schedule{{fleet_event::AddSuccessor, 0, 0},
+                                             {fleet_event::Reorder, 0, 14},
+                                             {fleet_event::CutOff, 0, 0},
+                                             {fleet_event::Remove, 3, 0},
+                                             {fleet_event::AddSuccessor, 1, 0},
+                                             {fleet_event::Reorder, 0, 0},
+                                             {fleet_event::Pass, 0, 871},
+                                             {fleet_event::Transfer, 2, 0},
+                                             {fleet_event::Recover, 0, 0},
+                                             {fleet_event::Recover, 0, 0},
+                                             {fleet_event::Recover, 0, 0},
+                                             {fleet_event::Pass, 0, 2'991},
+                                             {fleet_event::Remove, 1, 0}};
+    for (const fleet_action &each : schedule) {
+        act(fleet, each);
+    }
+    EXPECT_TRUE(fleet.recovers());
+}
+
 INSTANTIATE_TEST_SUITE_P(Zones,
                          LogReplacement,
                          ::testing::Values(installation{{"a", "b", "c"}, oneMachine},
