--- a/src/control_pipe/membership_policy.cpp
+++ b/src/control_pipe/membership_policy.cpp
@@ -70,7 +70,7 @@
         return oneSilent ? withRole(halves, member_role::Learner) : m_observed.members;
     }
 
-    /** One vote moves at a time: nothing else changes before its second half has moved. */
+    /** One vote moves at a time: nothing else changes before its halves are together again. */
     change finishMovingVote() const
     {
         const std::vector<log_member> halves = membersWith(member_role::HalfVoter);
@@ -85,7 +85,7 @@
         if (!allSilent) {
             return m_observed.members;
         }
-        // While halves wait, no other vote moves, whose replica may go any time.
+        // Another vote may have to move soon, and none can before these halves are one vote again, or none.
         return halves.size() == 1 ? withRole(halves, member_role::Learner) : moveHalfVote(halves.front(), halves.back());
     }
 
