The simulated cluster copies the zone of a replica that it adds

Cause: addReplica took the zone by reference. The caller's reference was to a replica of the same vector, which the new one may have moved. A fault of the test's cluster alone.

--- a/tests/support/log_cluster.h
+++ b/tests/support/log_cluster.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace carawayloft::test_support {
@@ -63,12 +64,12 @@
     }
 
     /** Starts a replica with an empty disk in this zone; returns its index. */
-    std::uint32_t addReplica(const availability_zone_id &zone)
+    std::uint32_t addReplica(availability_zone_id zone)
     {
         const auto added = static_cast<std::uint32_t>(m_replicas.size());
         replica &each = m_replicas.emplace_back();
         each.id = makeReplicaId(replica_number(added + 1), initialDiskIncarnation + 1);
-        each.zone = zone;
+        each.zone = std::move(zone);
         start(added);
         return added;
     }
