--- a/include/carawayloft/control/replicated_log.h
+++ b/include/carawayloft/control/replicated_log.h
@@ -164,6 +164,11 @@
     {
         return m_hardState.term;
     }
+    /** Of a leader: the term of the last entry before its own. Every earlier leader that held the lease had this term or a lower one. */
+    log_term precedingTerm() const
+    {
+        return m_precedingTerm;
+    }
     log_index commitIndex() const
     {
         return m_commitIndex;
@@ -277,6 +282,7 @@
     time_point m_lastLeaderContact;
     time_point m_electionDeadline;
     time_point m_nextHeartbeat;
+    log_term m_precedingTerm;
     bool m_preVoting = false;
     bool m_transferElection = false;
     std::set<replica_id> m_votes;
--- a/include/carawayloft/core/ids.h
+++ b/include/carawayloft/core/ids.h
@@ -80,6 +80,15 @@
 using log_index = strong_type<struct log_index_tag, std::uint64_t>;
 using log_term = strong_type<struct log_term_tag, std::uint64_t>;
 
+/**
+ * Difference between the term of an election and the term that its candidate had before. The numbers between them serve
+ * the leader as fencing tokens, so that each later leader has greater ones.
+ */
+inline constexpr std::uint64_t termSpacing = 10'000;
+
+/** Number of an order to an engine, which refuses orders with a lower number than one that it has carried out since its start. */
+using fencing_token = strong_type<struct fencing_token_tag, std::uint64_t>;
+
 /** Version of the fleet's configuration: the log index of the last change applied to it. */
 using revision = strong_type<struct revision_tag, std::uint64_t>;
 
--- a/include/carawayloft/fleet/fleet_pipe_messages.h
+++ b/include/carawayloft/fleet/fleet_pipe_messages.h
@@ -16,6 +16,7 @@
 struct leadership_changed {
     bool leads = false;
     log_term term;
+    log_term precedingTerm{}; /**< Of the last earlier leader that may have ordered engines. */
 };
 
 /** The services of the configuration in force. */
@@ -115,7 +116,7 @@
     order_id order;
     backend_id backend;
     endpoint address;
-    log_term fence;
+    fencing_token fence;
     engine_order what;
 };
 
--- a/include/carawayloft/fleet/group_closure.h
+++ b/include/carawayloft/fleet/group_closure.h
@@ -8,30 +8,30 @@
 
 namespace carawayloft {
 
-/** What proves that the head of a group does not serve it. */
+/** What proves that the head of a group does not serve it and will not. */
 enum class closure_proof : std::uint8_t {
     None, /**< It may serve: silence proves nothing, since a head that is cut off goes on. */
-    Reported, /**< It announced another state after it was ordered to close, and has answered that order. */
-    Confirmed, /**< It answered that it has closed. */
-    Restarted, /**< It announced a later start. */
+    Left, /**< Its present run answered that it has left the group, to an order with a higher number than each order to join or open it. */
     Replaced, /**< A server that started later uses its address. */
 };
 
 /** Reason for the end of a group, as logged; only for proofs. */
 const char *describe(closure_proof proof);
 
-/** What control knows about the head of a group that it closes. */
-struct closing_head {
+/** A server's answer that it is not in a group. */
+struct confirmed_leave {
+    backend_id backend;
     group_epoch epoch;
-    const backend_registry::entry *entry = nullptr; /**< Null if it has not announced itself. */
-    std::optional<std::int64_t> startedAt; /**< Its start when the group was formed, if known. */
-    std::optional<time_point> closeOrderedAt; /**< When it was first ordered to close, if it has answered that. */
+    std::int64_t startedAt = 0; /**< Start of the run that answered. */
+    time_point at;
 };
 
 /**
  * Decides from evidence which servers are bound to a group that control has given up. A server is free once the head
- * of its group is known not to serve, or once the server itself has left the group. There is no time limit: a group
- * whose head cannot be heard serves for as long as its members stay.
+ * of its group has left it, or once the server itself has. There is no time limit: a group whose head cannot be heard
+ * serves for as long as its members stay. An announcement is no evidence, since an order that is carried out late may
+ * undo what it says; nor is a start, since a late order may reach the new run. An answer to an order to leave is: the
+ * engine refuses all orders with a lower number from then on.
  */
 class group_closure
 {
@@ -39,25 +39,28 @@
     /** Forgets all groups. */
     void clear();
 
+    /** Takes the servers of which earlier leaders may have known an earlier run. */
+    void setKnown(const std::vector<backend_id> &servers);
+
     /** Takes the groups in the replicated log. A server counts as a member of its latest recorded group, even if its last report is older. */
     void setRecords(const std::vector<engine_group_record> &records);
 
     /** Takes the registry's latest reports; call it before the queries whenever the registry has changed. */
     void observe(const backend_registry &registry);
 
-    /** The head is known not to serve the group, or was never told to. */
-    void recordEnd(group_epoch epoch);
+    /** The head is known not to serve the group, or was never told to; @p head is null if it was never told to, or is not known. */
+    void recordEnd(group_epoch epoch, const backend_registry::entry *head = nullptr);
 
     /** The group was given up, but its head may serve. */
     void recordAbandoned(group_epoch epoch);
 
-    /** The head answered at @p at that it does not serve the group. */
-    void recordHeadClosed(group_epoch epoch, time_point at);
+    void recordLeft(const confirmed_leave &leave);
 
-    /** The server answered at @p at that it has left the group. */
-    void recordLeft(const backend_id &backend, group_epoch epoch, time_point at);
+    /** Forgets what servers answered that the registry knows no more. */
+    void forgetGone(const backend_registry &registry);
 
-    closure_proof proofFor(const closing_head &head) const;
+    /** What proves the end of the group; @p head is null if it has not announced itself. */
+    closure_proof proofFor(group_epoch epoch, const backend_registry::entry *head) const;
 
     /** Whether the head has announced that it serves, and nothing later. */
     bool serves(group_epoch epoch) const;
@@ -70,6 +73,15 @@
     /** Whether the server may be in the group by its record in the log. */
     bool isBoundByRecord(const backend_registry::entry &entry, group_epoch epoch) const;
 
+    /**
+     * Whether a server that reports no group may join one by an order that an earlier run of it did not answer. It may not
+     * once its present run has answered an order to leave, or if no leader can have ordered an earlier one.
+     */
+    bool mayJoinLate(const backend_registry::entry &entry) const;
+
+    /** Whether the server has left the group that it last reported, or the head of that has. */
+    bool isOutOfReportedGroup(const backend_registry::entry &entry) const;
+
     /** Whether the server is in no group that it reports whose head may serve. */
     bool isReleasedByReport(const backend_registry::entry &entry) const;
 
@@ -80,10 +92,10 @@
     bool isReleased(const backend_registry::entry &entry) const;
 
 private:
-    /** A server's answer that it has left a group. */
-    struct confirmed_leave {
-        group_epoch epoch;
-        time_point at;
+    /** The run of a head that was known not to serve its group. */
+    struct ended_head {
+        backend_id backend; /**< Empty if it was never told to serve, or is not known. */
+        std::int64_t startedAt = 0;
     };
 
     /** The latest group in the log that a server is a member of, and the run of the server that was chosen for it. */
@@ -92,15 +104,19 @@
         std::int64_t startedAt = 0;
     };
 
+    void noteRuns(const backend_registry &registry);
+    void reopenAfterRestart(group_epoch epoch, const backend_registry &registry);
+    const confirmed_leave *findLeave(const backend_registry::entry &entry, group_epoch epoch) const;
+    bool hasLeftSince(const backend_registry::entry &entry, group_epoch epoch) const;
     bool hasLeft(const backend_registry::entry &entry) const;
     bool isReportOutdated(const backend_registry::entry &entry) const;
 
-    std::set<group_epoch> m_ended;
+    std::map<group_epoch, ended_head> m_ended;
     std::set<group_epoch> m_abandoned;
     std::set<group_epoch> m_serving; /**< Groups whose head announces that it serves. */
-    std::map<group_epoch, time_point> m_headClosedAt;
-    std::map<backend_id, confirmed_leave> m_left;
+    std::map<backend_id, std::map<group_epoch, confirmed_leave>> m_left; /**< The latest groups that the last run of each server has left. */
     std::map<backend_id, recorded_membership> m_recorded;
+    std::map<backend_id, std::optional<std::int64_t>> m_firstRuns; /**< Start of the first run of each server; none if earlier leaders may have known it. */
 };
 
 } // namespace carawayloft
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -6,6 +6,7 @@
 #include <carawayloft/fleet/engine_order.h>
 #include <carawayloft/fleet/group_closure.h>
 #include <carawayloft/fleet/model_allocation.h>
+#include <carawayloft/fleet/order_fences.h>
 #include <carawayloft/fleet/plan_capacity.h>
 #include <carawayloft/fleet/regrouping_balance.h>
 
@@ -35,8 +36,10 @@
 /** This replica became the leader; @p inherited are the groups that the previous leader mirrored to it. */
 struct group_control_began {
     log_term term;
+    log_term precedingTerm{}; /**< Of the last earlier leader that may have ordered engines. */
     std::vector<engine_group> inherited;
     std::vector<engine_group_record> recorded{}; /**< In the replicated log. */
+    std::vector<backend_id> knownServers{}; /**< Those that earlier leaders may have ordered, as far as is known. */
 };
 
 /** The groups in the replicated log are now these. */
@@ -59,6 +62,7 @@
 struct engine_order_requested {
     order_id order;
     backend_id backend;
+    fencing_token fence;
     engine_order what;
 };
 
@@ -121,6 +125,8 @@
         bool sent = false;
         bool answered = false;
         std::optional<time_point> firstSentAt;
+        std::optional<fencing_token> fence; /**< The same each time that the order is sent, unless it was refused for it. */
+        bool isResentAtOnce = false; /**< Whether it was, since a later order had overtaken it. */
     };
     struct managed_group {
         engine_group group;
@@ -133,6 +139,7 @@
         std::optional<time_point> recordProposedAt;
         bool preempt = false;
         time_point preemptedAt; /**< When running requests were first given up, if preempt. */
+        bool isHeadClosed = false; /**< Whether its answer to the order to give up running requests says that it does not serve. */
         time_point phaseStartedAt; /**< Start of the current phase. */
         time_point deadline; /**< The group is dissolved if it is not ready by then. */
     };
@@ -153,21 +160,22 @@
         tracked_order order;
         time_point deadline;
     };
-    /** The order to a member to leave its group. */
+    /** The order to a server to leave a group. */
     struct departure_order {
-        group_epoch epoch;
+        std::int64_t startedAt = 0; /**< Start of the run of the server that is to leave. */
         time_point requestedAt;
         tracked_order order;
     };
+    using departure_key = std::pair<backend_id, group_epoch>;
     /** The group or backend server that an order is for. */
     struct order_target {
         group_epoch epoch; /**< Zero for no group. */
         backend_id backend;
     };
-    /** A group in the log whose head may serve, but that this leader orders no more. */
-    struct given_up_group {
-        time_point at;
-        std::optional<time_point> closeOrderedAt; /**< When its head was ordered to close, if it has answered that. */
+    /** What the group of an epoch is for; the epoch itself tells it, also to later leaders. */
+    enum class epoch_use : std::uint8_t {
+        Service, /**< Its head may be told to open. */
+        Standby, /**< A group of one server that never opens. */
     };
     using domain_pools = std::map<fabric_domain_id, domain_pool>;
 
@@ -191,6 +199,8 @@
     void handle(const group_control_ended &in);
     void handle(const order_finished &in);
     void recordAnswer(const order_target &target, const order_finished &in);
+    void recordOutcome(tracked_order &slot, const order_target &target, const order_finished &in);
+    void forgetLongGone();
 
     // Groups.
     void recordStarts(managed_group &each);
@@ -200,10 +210,13 @@
     void reconcileOpening(managed_group &each);
     void reconcileOpen(managed_group &each);
     void reconcileClosing(managed_group &each);
-    closure_proof proofOfClosure(const managed_group &each) const;
+    bool mayHeadLeave(const managed_group &each) const;
+    void orderHeadToEnd(managed_group &each);
     bool mayReachHead(const managed_group &each) const;
     void abandon(managed_group &each, const char *reason);
     void orderToLeave(const backend_id &member, group_epoch epoch);
+    void orderToLeaveAny(const backend_id &member);
+    void orderToJoin(managed_group &each, const backend_id &member);
     bool isReleasing() const;
     const char *missingMemberReason(const managed_group &each) const;
     bool hasDrainingMember(const managed_group &each) const;
@@ -214,8 +227,10 @@
 
     // Groups that another leader formed, adopted from the reports of their members.
     void adoptReportedGroups();
+    void fenceRestartedServers();
     void adopt(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
     void releaseHeadless(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
+    void orderAllToLeave(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks);
     managed_group &insertGroup(managed_group group);
     bool completeAdopted(managed_group &each);
     const model_profile *findProfile(const service_id &service, const model_id &model) const;
@@ -226,7 +241,7 @@
     void adoptRecordedGroups();
     void adoptRecorded(const engine_group_record &record);
     void release(const engine_group_record &record);
-    void giveUp(group_epoch epoch, std::optional<time_point> closeOrderedAt);
+    void giveUp(group_epoch epoch);
     managed_group &insertRecorded(const engine_group_record &record);
     bool isSuperseded(const engine_group_record &record) const;
     bool isRecorded(const managed_group &each) const;
@@ -280,7 +295,8 @@
     void recordLoadStart();
 
     void send(tracked_order &slot, group_epoch epoch, const backend_id &backend, engine_order what, duration resendDelay);
-    group_epoch nextEpoch();
+    group_epoch nextEpoch(epoch_use use);
+    static bool isStandbyEpoch(group_epoch epoch);
     const backend_registry::entry *findEntry(const backend_id &backend) const;
 
     time_point m_now;
@@ -290,6 +306,7 @@
     log_term m_term;
     std::uint64_t m_epochsUsed = 0;
     order_id m_lastOrder;
+    order_fences m_fences;
     std::map<group_epoch, managed_group> m_groups;
     std::map<backend_id, group_epoch> m_memberOf; /**< Members of the groups in m_groups. */
     std::map<backend_id, standby> m_standby;
@@ -299,8 +316,8 @@
     time_point m_beganAt;
     std::map<group_epoch, engine_group_record> m_recorded; /**< Groups in the replicated log. */
     std::map<group_epoch, time_point> m_removalProposedAt;
-    std::map<group_epoch, given_up_group> m_givenUp;
-    std::map<backend_id, departure_order> m_departures; /**< Last order to leave to each server. */
+    std::map<group_epoch, time_point> m_givenUp; /**< Groups in the log whose head may serve, but that this leader orders no more; since when. */
+    std::map<departure_key, departure_order> m_departures; /**< Orders to leave, of each server and group. */
     std::size_t m_registeredCount = 0; /**< Backend servers in the registry at the last check of their number. */
     time_point m_lastRegisteredAt; /**< When that number last changed. */
     std::map<group_epoch, time_point> m_unadoptedSince;
--- a/src/control_pipe/replicated_log_election.cpp
+++ b/src/control_pipe/replicated_log_election.cpp
@@ -5,6 +5,12 @@
 
 namespace carawayloft {
 
+/** The term of an election that a replica starts in @p term. */
+static log_term nextElectionTerm(log_term term)
+{
+    return log_term(term.value() + termSpacing);
+}
+
 bool replicated_log::isVoter(replica_id replica) const
 {
     return std::any_of(m_members.begin(), m_members.end(), [&](const log_member &each) { return each.replica == replica && halfVotesOf(each.role) > 0; });
@@ -96,10 +102,10 @@
     m_transferElection = transfer;
     m_votes = {m_options.self};
     if (!preVote) {
-        setHardState(next(m_hardState.term), m_options.self);
+        setHardState(nextElectionTerm(m_hardState.term), m_options.self);
     }
     setRole(log_role::Candidate, replica_id());
-    const log_term term = preVote ? next(m_hardState.term) : m_hardState.term;
+    const log_term term = preVote ? nextElectionTerm(m_hardState.term) : m_hardState.term;
     for (const log_member &each : m_members) {
         if (halfVotesOf(each.role) > 0 && each.replica != m_options.self) {
             emit(send_log_message{each.replica, vote_request{term, lastIndex(), termAt(lastIndex()), preVote, transfer}});
@@ -115,6 +121,7 @@
     setRole(log_role::Leader, m_options.self);
     m_progress.clear();
     m_transferTo = replica_id();
+    m_precedingTerm = termAt(lastIndex());
     append(entry_kind::Empty, {}, {}, log_request_token());
     broadcast(true);
     advanceCommit();
@@ -174,7 +181,7 @@
         becomeFollower(message.term, replica_id());
         return;
     }
-    const log_term expected = m_preVoting ? next(m_hardState.term) : m_hardState.term;
+    const log_term expected = m_preVoting ? nextElectionTerm(m_hardState.term) : m_hardState.term;
     if (m_role != log_role::Candidate || message.preVote != m_preVoting || !message.granted || message.term != expected) {
         return;
     }
--- a/src/fleet_pipe/fleet_pipe.cpp
+++ b/src/fleet_pipe/fleet_pipe.cpp
@@ -67,11 +67,13 @@
     m_correlator = crash_correlator();
     stepCorrelator(quarantine_changed{m_quarantinedTraits});
     const publish_fleet inherited = m_mirror.snapshot(m_now);
+    std::vector<backend_id> known;
     for (const backend_record &each : inherited.backends) {
         m_registry.step(mirrored_backend_record{each}, m_now);
+        known.push_back(each.backend);
     }
     m_trafficStarted = m_trafficStarted || !inherited.groups.empty();
-    stepController(group_control_began{m_term, inherited.groups, m_recordedGroups});
+    stepController(group_control_began{m_term, in.precedingTerm, inherited.groups, m_recordedGroups, std::move(known)});
     m_out.emplace_back(mirror_fleet{snapshot(m_now)});
     reconcile();
 }
@@ -357,7 +359,7 @@
 {
     const backend_registry::entry *entry = m_registry.find(out.backend);
     if (entry != nullptr) {
-        m_out.emplace_back(send_engine_order{out.order, out.backend, entry->record.address, m_term, out.what});
+        m_out.emplace_back(send_engine_order{out.order, out.backend, entry->record.address, out.fence, out.what});
     }
 }
 
--- a/src/fleet_pipe/group_closure.cpp
+++ b/src/fleet_pipe/group_closure.cpp
@@ -2,6 +2,9 @@
 
 namespace carawayloft {
 
+/** Number of groups of one server that are kept; the order to leave an earlier one is sent again if the answer is needed. */
+static constexpr std::size_t maxLeavesOfServer = 8;
+
 /** Whether the engine serves as the head of the group that it reports. */
 static bool reportsServing(const membership_report &report)
 {
@@ -13,12 +16,8 @@
     switch (proof) {
     case closure_proof::None:
         break;
-    case closure_proof::Reported:
-        return "the head reported that it stopped serving";
-    case closure_proof::Confirmed:
-        return "the head confirmed that it stopped serving";
-    case closure_proof::Restarted:
-        return "the head restarted";
+    case closure_proof::Left:
+        return "the head confirmed that it left the group";
     case closure_proof::Replaced:
         return "a later server uses the address of the head";
     }
@@ -30,11 +29,19 @@
     *this = group_closure();
 }
 
+void group_closure::setKnown(const std::vector<backend_id> &servers)
+{
+    for (const backend_id &each : servers) {
+        m_firstRuns.emplace(each, std::nullopt);
+    }
+}
+
 void group_closure::setRecords(const std::vector<engine_group_record> &records)
 {
     m_recorded.clear();
     for (const engine_group_record &group : records) {
         for (const engine_member_record &member : group.members) {
+            m_firstRuns.try_emplace(member.backend, std::nullopt);
             recorded_membership &latest = m_recorded[member.backend];
             if (latest.epoch < group.epoch) {
                 latest = {group.epoch, member.startedAt};
@@ -45,22 +52,42 @@
 
 void group_closure::observe(const backend_registry &registry)
 {
+    noteRuns(registry);
     m_serving.clear();
     for (const auto &[id, entry] : registry.entries()) {
         const membership_report &report = entry.record.membership;
         const bool isPresent = entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining;
-        const auto closed = m_headClosedAt.find(report.epoch);
-        const bool isOutdated = closed != m_headClosedAt.end() && entry.heardAt <= closed->second;
-        if (isPresent && report.rank == 0 && !isOutdated && !isReportOutdated(entry) && reportsServing(report)) {
+        if (isPresent && report.rank == 0 && !hasLeft(entry) && !isReportOutdated(entry) && reportsServing(report)) {
             m_serving.insert(report.epoch);
         }
+        reopenAfterRestart(report.epoch, registry);
+    }
+}
+
+void group_closure::noteRuns(const backend_registry &registry)
+{
+    for (const auto &[id, entry] : registry.entries()) {
+        m_firstRuns.try_emplace(id, entry.record.startedAt);
     }
 }
 
-void group_closure::recordEnd(group_epoch epoch)
+/** A head that has started again may join and open its group once more by late orders, until its new run has left it too. */
+void group_closure::reopenAfterRestart(group_epoch epoch, const backend_registry &registry)
+{
+    const auto ended = m_ended.find(epoch);
+    if (ended == m_ended.end() || ended->second.backend.value().empty()) {
+        return;
+    }
+    const backend_registry::entry *head = registry.find(ended->second.backend);
+    if (head != nullptr && head->record.startedAt > ended->second.startedAt) {
+        recordAbandoned(epoch);
+    }
+}
+
+void group_closure::recordEnd(group_epoch epoch, const backend_registry::entry *head)
 {
     m_abandoned.erase(epoch);
-    m_ended.insert(epoch);
+    m_ended[epoch] = head == nullptr ? ended_head() : ended_head{head->record.backend, head->record.startedAt};
 }
 
 void group_closure::recordAbandoned(group_epoch epoch)
@@ -69,40 +96,31 @@
     m_abandoned.insert(epoch);
 }
 
-void group_closure::recordHeadClosed(group_epoch epoch, time_point at)
+void group_closure::recordLeft(const confirmed_leave &leave)
 {
-    m_headClosedAt[epoch] = at;
-    m_serving.erase(epoch);
+    std::map<group_epoch, confirmed_leave> &leaves = m_left[leave.backend];
+    std::erase_if(leaves, [&](const auto &each) { return each.second.startedAt != leave.startedAt; });
+    leaves[leave.epoch] = leave;
+    if (leaves.size() > maxLeavesOfServer) {
+        leaves.erase(leaves.begin());
+    }
 }
 
-void group_closure::recordLeft(const backend_id &backend, group_epoch epoch, time_point at)
+void group_closure::forgetGone(const backend_registry &registry)
 {
-    m_left[backend] = {epoch, at};
+    std::erase_if(m_left, [&](const auto &each) { return registry.find(each.first) == nullptr; });
+    std::erase_if(m_firstRuns, [&](const auto &each) { return registry.find(each.first) == nullptr; });
 }
 
-closure_proof group_closure::proofFor(const closing_head &head) const
+closure_proof group_closure::proofFor(group_epoch epoch, const backend_registry::entry *head) const
 {
-    if (head.entry == nullptr) {
+    if (head == nullptr) {
         return closure_proof::None;
     }
-    // An order to join that was repeated after a restart may have reached the later run, which is in the group again then.
-    if (head.startedAt && head.entry->record.startedAt > *head.startedAt && head.entry->record.membership.epoch != head.epoch) {
-        return closure_proof::Restarted;
-    }
-    if (head.entry->replaced) {
+    if (head->replaced) {
         return closure_proof::Replaced;
     }
-    if (m_headClosedAt.contains(head.epoch) && !serves(head.epoch)) {
-        return closure_proof::Confirmed;
-    }
-    const bool isHeard = head.entry->record.state == backend_state::Ready || head.entry->record.state == backend_state::Draining;
-    const membership_report &report = head.entry->record.membership;
-    const bool mayServe = report.epoch == head.epoch && reportsServing(report);
-    // What it announced before the order may be older than the order to open.
-    if (isHeard && !mayServe && head.closeOrderedAt && head.entry->heardAt > *head.closeOrderedAt) {
-        return closure_proof::Reported;
-    }
-    return closure_proof::None;
+    return findLeave(*head, epoch) != nullptr && !serves(epoch) ? closure_proof::Left : closure_proof::None;
 }
 
 bool group_closure::serves(group_epoch epoch) const
@@ -115,11 +133,30 @@
     return m_abandoned.contains(epoch);
 }
 
+/** The answer of the present run of the server that it has left the group, or nullptr. */
+const confirmed_leave *group_closure::findLeave(const backend_registry::entry &entry, group_epoch epoch) const
+{
+    const auto leaves = m_left.find(entry.record.backend);
+    if (leaves == m_left.end()) {
+        return nullptr;
+    }
+    const auto found = leaves->second.find(epoch);
+    return found == leaves->second.end() || found->second.startedAt != entry.record.startedAt ? nullptr : &found->second;
+}
+
+/** Whether the present run of the server has left the group or a later one. */
+bool group_closure::hasLeftSince(const backend_registry::entry &entry, group_epoch epoch) const
+{
+    const auto leaves = m_left.find(entry.record.backend);
+    return leaves != m_left.end() && !leaves->second.empty() && findLeave(entry, leaves->second.rbegin()->first) != nullptr
+           && leaves->second.rbegin()->first >= epoch;
+}
+
 /** Whether the server has left the group that it last reported. */
 bool group_closure::hasLeft(const backend_registry::entry &entry) const
 {
-    const auto left = m_left.find(entry.record.backend);
-    return left != m_left.end() && left->second.epoch == entry.record.membership.epoch && entry.heardAt <= left->second.at;
+    const confirmed_leave *left = findLeave(entry, entry.record.membership.epoch);
+    return left != nullptr && entry.heardAt <= left->at;
 }
 
 bool group_closure::hasEnded(group_epoch epoch) const
@@ -143,19 +180,32 @@
 bool group_closure::isBoundByRecord(const backend_registry::entry &entry, group_epoch epoch) const
 {
     const auto recorded = m_recorded.find(entry.record.backend);
-    const bool isMember = recorded != m_recorded.end() && recorded->second.epoch == epoch && entry.record.startedAt <= recorded->second.startedAt;
-    // Epochs of one server only grow, so a later one shows that it is out of this group.
+    const bool isMember = recorded != m_recorded.end() && recorded->second.epoch == epoch;
+    // Epochs of one run only grow, so a later one shows that it is out of this group.
     if (!isMember || entry.record.membership.epoch > epoch || hasEnded(epoch)) {
         return false;
     }
-    const auto left = m_left.find(entry.record.backend);
-    return left == m_left.end() || left->second.epoch < epoch;
+    return !hasLeftSince(entry, epoch);
 }
 
-bool group_closure::isReleasedByReport(const backend_registry::entry &entry) const
+bool group_closure::mayJoinLate(const backend_registry::entry &entry) const
+{
+    if (entry.record.membership.epoch.value() != 0 || hasLeftSince(entry, group_epoch())) {
+        return false;
+    }
+    const auto first = m_firstRuns.find(entry.record.backend);
+    return first == m_firstRuns.end() || first->second != entry.record.startedAt;
+}
+
+bool group_closure::isOutOfReportedGroup(const backend_registry::entry &entry) const
 {
     const group_epoch epoch = entry.record.membership.epoch;
-    return epoch.value() == 0 || isReportOutdated(entry) || hasLeft(entry) || hasEnded(epoch);
+    return epoch.value() == 0 ? !mayJoinLate(entry) : hasLeft(entry) || hasEnded(epoch);
+}
+
+bool group_closure::isReleasedByReport(const backend_registry::entry &entry) const
+{
+    return isReportOutdated(entry) || isOutOfReportedGroup(entry);
 }
 
 bool group_closure::isReleased(const backend_registry::entry &entry) const
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -10,6 +10,9 @@
 /** Time allowed for a head to open, or for an inherited group to form. */
 static constexpr duration openTimeout{8'000};
 
+/** Orders to leave are repeated until they are answered; one that was not sent for this time is needed no more. */
+static constexpr duration departureRetention{10'000};
+
 /** Number of epochs reserved for each term. */
 static constexpr std::uint64_t epochsPerTerm = 1'000'000;
 
@@ -37,6 +40,7 @@
     m_active = true;
     m_term = in.term;
     m_epochsUsed = 0;
+    m_fences.begin(in.precedingTerm, in.term);
     m_groups.clear();
     m_memberOf.clear();
     m_standby.clear();
@@ -54,6 +58,7 @@
     m_beganAt = m_now;
     m_removalProposedAt.clear();
     m_givenUp.clear();
+    m_closure.setKnown(in.knownServers);
     takeRecords(in.recorded);
     for (const engine_group &each : in.inherited) {
         inherit(each);
@@ -84,39 +89,50 @@
     recordAnswer(target, in);
 }
 
+/** Records in @p slot the answer to its order, if @p in is that. */
+void group_controller::recordOutcome(tracked_order &slot, const order_target &target, const order_finished &in)
+{
+    if (slot.order != in.order) {
+        return;
+    }
+    // An engine that is not ready yet gets the order again.
+    slot.answered = in.outcome != order_outcome::Conflict;
+    if (in.outcome == order_outcome::Fenced) {
+        const bool isOvertaken = slot.fence && m_fences.isOvertaken(target.backend, *slot.fence);
+        slot.fence.reset();
+        // A later order to the same engine came first, so this one is sent again at once if it is still needed, but no more than once.
+        if (isOvertaken && !slot.isResentAtOnce) {
+            slot.isResentAtOnce = true;
+            slot.answered = false;
+            slot.sent = false;
+        }
+    }
+}
+
 /** Records the answer of an engine with the order that it answers. */
 void group_controller::recordAnswer(const order_target &target, const order_finished &in)
 {
-    const auto recordOutcome = [&](tracked_order &slot) {
-        if (slot.order == in.order) {
-            // An engine that is not ready yet gets the order again.
-            slot.answered = in.outcome != order_outcome::Conflict;
-        }
-    };
-    if (const auto group = m_groups.find(target.epoch); group != m_groups.end()) {
-        recordOutcome(group->second.openOrder);
-        if (group->second.closeOrder.order == in.order) {
-            group->second.closeOrder.answered = true;
-            // The answer is as good as an announcement, which may have gone to a former leader.
-            if (group->second.preempt && in.outcome == order_outcome::Done) {
-                m_closure.recordHeadClosed(target.epoch, m_now);
-            }
-        }
-        if (const auto join = group->second.joinOrders.find(target.backend); join != group->second.joinOrders.end()) {
-            recordOutcome(join->second);
+    if (const auto found = m_groups.find(target.epoch); found != m_groups.end()) {
+        managed_group &group = found->second;
+        const bool hasClosed = in.outcome == order_outcome::Done || in.outcome == order_outcome::Conflict;
+        group.isHeadClosed = group.isHeadClosed || (group.preempt && group.closeOrder.order == in.order && hasClosed);
+        recordOutcome(group.openOrder, target, in);
+        recordOutcome(group.closeOrder, target, in);
+        if (const auto join = group.joinOrders.find(target.backend); join != group.joinOrders.end()) {
+            recordOutcome(join->second, target, in);
         }
     }
     if (const auto standby = m_standby.find(target.backend); standby != m_standby.end() && standby->second.epoch == target.epoch) {
-        recordOutcome(standby->second.joinOrder);
+        recordOutcome(standby->second.joinOrder, target, in);
     }
-    if (const auto leaving = m_departures.find(target.backend); leaving != m_departures.end() && leaving->second.order.order == in.order) {
-        recordOutcome(leaving->second.order);
+    if (const auto leaving = m_departures.find({target.backend, target.epoch}); leaving != m_departures.end() && leaving->second.order.order == in.order) {
         if (in.outcome == order_outcome::Done) {
-            m_closure.recordLeft(target.backend, target.epoch, m_now);
+            m_closure.recordLeft({target.backend, target.epoch, leaving->second.startedAt, m_now});
         }
+        recordOutcome(leaving->second.order, target, in);
     }
     if (const auto staged = m_staging.find(target.backend); staged != m_staging.end() && target.epoch.value() == 0) {
-        recordOutcome(staged->second.order);
+        recordOutcome(staged->second.order, target, in);
     }
 }
 
@@ -126,10 +142,12 @@
         return;
     }
     m_context.emplace(in.context);
+    forgetLongGone();
     averageCapacities();
     m_closure.observe(m_context->registry);
     adoptReportedGroups();
     adoptRecordedGroups();
+    fenceRestartedServers();
     std::vector<group_epoch> epochs;
     epochs.reserve(m_groups.size());
     for (const auto &[epoch, each] : m_groups) {
@@ -149,14 +167,31 @@
     proposeRecords();
 }
 
+/** Forgets orders to servers that are long gone, and orders to leave that were needed long ago. */
+void group_controller::forgetLongGone()
+{
+    std::erase_if(m_departures, [this](const auto &each) { return m_now >= each.second.order.sentAt + departureRetention; });
+    if (m_fences.size() > 2 * m_context->registry.entries().size()) {
+        m_fences.forgetUnless([this](const backend_id &backend) { return findEntry(backend) != nullptr; });
+        m_closure.forgetGone(m_context->registry);
+    }
+}
+
 const backend_registry::entry *group_controller::findEntry(const backend_id &backend) const
 {
     return m_context->registry.find(backend);
 }
 
-group_epoch group_controller::nextEpoch()
+/** Epochs of standbys are odd. */
+group_epoch group_controller::nextEpoch(epoch_use use)
+{
+    m_epochsUsed += 2;
+    return group_epoch(m_term.value() * epochsPerTerm + m_epochsUsed + (use == epoch_use::Standby ? 1 : 0));
+}
+
+bool group_controller::isStandbyEpoch(group_epoch epoch)
 {
-    return group_epoch(m_term.value() * epochsPerTerm + ++m_epochsUsed);
+    return epoch.value() % 2 == 1;
 }
 
 /** Sends the order unless it was answered, or was sent less than @p resendDelay ago. */
@@ -170,8 +205,12 @@
     slot.sentAt = m_now;
     slot.firstSentAt = slot.firstSentAt.value_or(m_now);
     slot.sent = true;
+    if (!slot.fence) {
+        // Staging changes no membership, so it needs no number of its own, with which it would overtake a join.
+        slot.fence = std::holds_alternative<stage_model>(what) ? m_fences.current(backend) : m_fences.next(backend);
+    }
     m_pendingOrders[m_lastOrder] = {epoch, backend};
-    m_out.emplace_back(engine_order_requested{m_lastOrder, backend, std::move(what)});
+    m_out.emplace_back(engine_order_requested{m_lastOrder, backend, *slot.fence, std::move(what)});
 }
 
 void group_controller::setPhase(managed_group &each, group_phase phase, const char *reason)
@@ -286,11 +325,10 @@
     bool ready = true;
     for (const backend_id &member : each.group.members) {
         const membership_report &report = findEntry(member)->record.membership;
-        if (report.epoch == epoch && report.state != membership_state::Joining) {
-            continue;
+        if (report.epoch != epoch || report.state == membership_state::Joining) {
+            ready = false;
+            orderToJoin(each, member);
         }
-        ready = false;
-        send(each.joinOrders[member], epoch, member, join_group{epoch, each.group.model, each.group.members}, orderResendDelay);
     }
     if (ready) {
         setPhase(each, group_phase::Opening, "all members are ready");
@@ -298,6 +336,19 @@
     }
 }
 
+/** Orders the server to join, or to leave its group first if that may serve: an earlier leader may have chosen the server. */
+void group_controller::orderToJoin(managed_group &each, const backend_id &member)
+{
+    const group_epoch epoch = each.group.epoch;
+    const backend_registry::entry &entry = *findEntry(member);
+    const group_epoch reported = entry.record.membership.epoch;
+    if (reported != epoch && !isStandbyEpoch(reported) && !m_closure.isOutOfReportedGroup(entry)) {
+        reported.value() == 0 ? orderToLeaveAny(member) : orderToLeave(member, reported);
+        return;
+    }
+    send(each.joinOrders[member], epoch, member, join_group{epoch, each.group.model, each.group.members}, orderResendDelay);
+}
+
 void group_controller::reconcileOpening(managed_group &each)
 {
     if (const char *missing = missingMemberReason(each)) {
--- a/src/fleet_pipe/group_controller_adoption.cpp
+++ b/src/fleet_pipe/group_controller_adoption.cpp
@@ -18,7 +18,8 @@
         const bool usable = entry.record.state == backend_state::Ready || entry.record.state == backend_state::Draining;
         const auto standby = m_standby.find(id);
         const bool isStandby = standby != m_standby.end() && standby->second.epoch == report.epoch;
-        if (usable && !isStandby && !m_groups.contains(report.epoch) && !m_closure.isReleasedByReport(entry)) {
+        const bool isMember = report.epoch.value() != 0 && !m_groups.contains(report.epoch);
+        if (usable && !isStandby && isMember && !m_closure.isReleasedByReport(entry)) {
             seen[report.epoch].emplace(report.rank, id);
         }
     }
@@ -29,6 +30,19 @@
     }
 }
 
+/** Makes servers that report no group refuse the orders that were sent to an earlier run of theirs, before they are used. */
+void group_controller::fenceRestartedServers()
+{
+    for (const auto &[id, entry] : m_context->registry.entries()) {
+        const bool isEngine = !entry.record.fabricDomain.value().empty();
+        const managed_group *group = findGroup(id);
+        const bool isUnused = (group == nullptr || group->group.phase == group_phase::Closing) && !m_standby.contains(id);
+        if (isEngine && isUnused && entry.record.state == backend_state::Ready && m_closure.mayJoinLate(entry)) {
+            orderToLeaveAny(id);
+        }
+    }
+}
+
 /** Adopts a group that another leader formed, or releases its members. */
 void group_controller::adopt(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks)
 {
@@ -40,8 +54,10 @@
     const backend_record &record = findEntry(head->second)->record;
     if (record.membership.state != membership_state::Open && record.membership.state != membership_state::Closing) {
         // The head of a recorded group may have been told to open since it announced this.
-        if (!m_recorded.contains(epoch)) {
+        if (isStandbyEpoch(epoch)) {
             m_closure.recordEnd(epoch);
+        } else if (!m_recorded.contains(epoch)) {
+            orderAllToLeave(epoch, ranks);
         }
         return;
     }
@@ -70,6 +86,11 @@
         return;
     }
     m_closure.recordAbandoned(epoch);
+    orderAllToLeave(epoch, ranks);
+}
+
+void group_controller::orderAllToLeave(group_epoch epoch, const std::map<std::uint32_t, backend_id> &ranks)
+{
     for (const auto &[rank, member] : ranks) {
         orderToLeave(member, epoch);
     }
--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -9,12 +9,18 @@
 /** Time allowed for a head that answered the close order to report the new state. */
 static constexpr duration closeResendDelay{120};
 
+/** Time allowed for a head to answer the order to give up its requests, and to report the new state. */
+static constexpr duration closeAnswerTimeout{120};
+
 /** Time allowed for a draining group to finish its requests before they are aborted. */
 static constexpr duration drainTimeout{2'500};
 
 /** Time allowed for a head to stop at once; members of a head that does not say so leave it. */
 static constexpr duration headAnswerTimeout{700};
 
+/** Epochs of groups that are formed are higher. */
+static constexpr group_epoch neverFormed{1};
+
 /** Time for which plans and formation wait for members that were told to leave: with all of them there is less to load, and one plan does. */
 static constexpr duration leaveAnswerTime{150};
 
@@ -46,20 +52,36 @@
     each.preempt = true;
     each.preemptedAt = m_now;
     each.closeOrder = {};
+    each.isHeadClosed = false;
 }
 
-closure_proof group_controller::proofOfClosure(const managed_group &each) const
+/**
+ * Whether an order to leave the group breaks off no requests that the head may still finish. What the head announces is no
+ * proof that it serves no more: it may be older than an order to open, and that order may be carried out later still.
+ */
+bool group_controller::mayHeadLeave(const managed_group &each) const
 {
-    closing_head head;
-    head.epoch = each.group.epoch;
-    head.entry = findEntry(each.group.head());
-    if (!each.startedAt.empty()) {
-        head.startedAt = each.startedAt.front();
+    const backend_registry::entry *head = findEntry(each.group.head());
+    const bool hasRestarted = head != nullptr && !each.startedAt.empty() && head->record.startedAt > each.startedAt.front();
+    const bool hasGivenUp = each.preempt && (each.isHeadClosed || m_now >= each.preemptedAt + closeAnswerTimeout);
+    if (hasRestarted || hasGivenUp) {
+        return true;
     }
-    if (each.closeOrder.answered) {
-        head.closeOrderedAt = each.closeOrder.firstSentAt;
+    const bool isHeardSince = head != nullptr && each.closeOrder.firstSentAt && head->heardAt > *each.closeOrder.firstSentAt;
+    return isHeardSince && each.closeOrder.answered && !m_closure.serves(each.group.epoch);
+}
+
+/** Orders the head to close, and to leave the group once it has: an order to open that is carried out late opens nothing then. */
+void group_controller::orderHeadToEnd(managed_group &each)
+{
+    const group_epoch epoch = each.group.epoch;
+    if (mayHeadLeave(each)) {
+        orderToLeave(each.group.head(), epoch);
+        return;
     }
-    return m_closure.proofFor(head);
+    // While the head reports that it serves, the order may have been lost after it was answered.
+    each.closeOrder.answered = each.closeOrder.answered && m_now < each.closeOrder.sentAt + closeResendDelay;
+    send(each.closeOrder, epoch, each.group.head(), close_group{epoch, each.preempt}, orderResendDelay);
 }
 
 /** Whether the head may receive orders; one that has announced its departure goes on for a while. */
@@ -72,8 +94,8 @@
 void group_controller::reconcileClosing(managed_group &each)
 {
     const group_epoch epoch = each.group.epoch;
-    if (const closure_proof proof = proofOfClosure(each); proof != closure_proof::None) {
-        m_closure.recordEnd(epoch);
+    if (const closure_proof proof = m_closure.proofFor(epoch, findEntry(each.group.head())); proof != closure_proof::None) {
+        m_closure.recordEnd(epoch, findEntry(each.group.head()));
         dissolve(epoch, describe(proof));
         return;
     }
@@ -81,9 +103,7 @@
         startPreempting(each);
     }
     if (mayReachHead(each)) {
-        // While the head reports that it serves, the order may have been lost after it was answered.
-        each.closeOrder.answered = each.closeOrder.answered && m_now < each.closeOrder.sentAt + closeResendDelay;
-        send(each.closeOrder, epoch, each.group.head(), close_group{epoch, each.preempt}, orderResendDelay);
+        orderHeadToEnd(each);
     }
     const bool mayAnswer = mayReachHead(each) && (!each.preempt || m_now < each.preemptedAt + headAnswerTimeout);
     if (!mayAnswer) {
@@ -95,7 +115,7 @@
 void group_controller::abandon(managed_group &each, const char *reason)
 {
     const engine_group group = each.group;
-    giveUp(group.epoch, each.closeOrder.answered ? each.closeOrder.firstSentAt : std::nullopt);
+    giveUp(group.epoch);
     dissolve(group.epoch, reason);
     for (const backend_id &member : group.members) {
         const backend_registry::entry *entry = findEntry(member);
@@ -107,24 +127,31 @@
     }
 }
 
-/** Sends the order until the member reports that it is in no group: an answer only confirms receipt. */
+/** Sends the order until this run of the server has answered that it is not in the group. */
 void group_controller::orderToLeave(const backend_id &member, group_epoch epoch)
 {
-    departure_order &leaving = m_departures[member];
-    if (leaving.epoch != epoch) {
-        leaving = {epoch, m_now, {}};
+    const std::int64_t startedAt = findEntry(member)->record.startedAt;
+    departure_order &leaving = m_departures.try_emplace({member, epoch}, departure_order{startedAt, m_now, {}}).first->second;
+    if (leaving.startedAt != startedAt) {
+        leaving = {startedAt, m_now, {}};
     }
     leaving.order.answered = leaving.order.answered && m_now < leaving.order.sentAt + orderResendDelay;
     send(leaving.order, epoch, member, leave_group{epoch}, orderResendDelay);
 }
 
+/** Orders the server to leave a group that never was: once it has answered, it refuses all orders to an earlier run of it. */
+void group_controller::orderToLeaveAny(const backend_id &member)
+{
+    orderToLeave(member, neverFormed);
+}
+
 /** Whether any server was told to leave its group just now and has not confirmed it yet. */
 bool group_controller::isReleasing() const
 {
     return std::any_of(m_departures.begin(), m_departures.end(), [&](const auto &each) {
-        const auto &[backend, leaving] = each;
-        const backend_registry::entry *entry = m_now < leaving.requestedAt + leaveAnswerTime ? findEntry(backend) : nullptr;
-        const bool mayBeIn = entry != nullptr && (entry->record.membership.epoch == leaving.epoch || m_closure.isBoundByRecord(*entry, leaving.epoch));
+        const auto &[backend, epoch] = each.first;
+        const backend_registry::entry *entry = m_now < each.second.requestedAt + leaveAnswerTime ? findEntry(backend) : nullptr;
+        const bool mayBeIn = entry != nullptr && (entry->record.membership.epoch == epoch || m_closure.isBoundByRecord(*entry, epoch));
         return mayBeIn && !m_closure.isReleased(*entry);
     });
 }
--- a/src/fleet_pipe/group_controller_formation.cpp
+++ b/src/fleet_pipe/group_controller_formation.cpp
@@ -252,7 +252,7 @@
     const model_profile &model = *findProfile(service.service, chosen.model);
     const bool allLoaded = std::all_of(chosen.members.begin(), chosen.members.end(), [&](const spare_backend &each) { return each.loaded == chosen.model; });
     managed_group group;
-    group.group = {nextEpoch(), service.service, chosen.model, group_phase::Forming, {}};
+    group.group = {nextEpoch(epoch_use::Service), service.service, chosen.model, group_phase::Forming, {}};
     group.deadline = m_now + ceilDuration(allLoaded ? hotJoinTime : std::max(hotJoinTime, model.warmLoadTime.value())) + joinSlack;
     for (const spare_backend &each : chosen.members) {
         group.group.members.push_back(each.backend);
--- a/src/fleet_pipe/group_controller_records.cpp
+++ b/src/fleet_pipe/group_controller_records.cpp
@@ -101,15 +101,12 @@
 {
     const group_epoch epoch = record.epoch;
     const backend_registry::entry *head = findEntry(record.members.front().backend);
-    const auto givenUp = m_givenUp.find(epoch);
-    const std::optional<time_point> closeOrderedAt = givenUp == m_givenUp.end() ? std::nullopt : givenUp->second.closeOrderedAt;
-    const closure_proof proof = m_closure.proofFor({epoch, head, record.members.front().startedAt, closeOrderedAt});
-    if (proof != closure_proof::None) {
-        m_closure.recordEnd(epoch);
+    if (const closure_proof proof = m_closure.proofFor(epoch, head); proof != closure_proof::None) {
+        m_closure.recordEnd(epoch, head);
         m_out.emplace_back(group_retired{epoch, describe(proof)});
         return;
     }
-    if (givenUp != m_givenUp.end() || m_closure.isAbandoned(epoch)) {
+    if (m_givenUp.contains(epoch) || m_closure.isAbandoned(epoch)) {
         release(record);
         return;
     }
@@ -152,13 +149,17 @@
 /** Has the members of a group that was given up leave it, and closes it again once its head is heard. */
 void group_controller::release(const engine_group_record &record)
 {
-    const time_point givenUpAt = m_givenUp.try_emplace(record.epoch, given_up_group{m_now, std::nullopt}).first->second.at;
+    const time_point givenUpAt = m_givenUp.try_emplace(record.epoch, m_now).first->second;
     const backend_id &headId = record.members.front().backend;
     const backend_registry::entry *head = findEntry(headId);
-    if (isPresent(head) && head->heardAt > givenUpAt && mayBeIn(m_closure, *head, record.epoch)) {
+    const bool isHeadHeard = isPresent(head) && head->heardAt > givenUpAt;
+    if (isHeadHeard && mayBeIn(m_closure, *head, record.epoch)) {
         close(insertRecorded(record), true, "its head is heard again");
         return;
     }
+    if (isHeadHeard) {
+        orderToLeave(headId, record.epoch); // Its answer proves that the group is over.
+    }
     for (const engine_member_record &each : record.members) {
         const backend_registry::entry *entry = findEntry(each.backend);
         if (each.backend != headId && isPresent(entry) && mayBeIn(m_closure, *entry, record.epoch)) {
@@ -168,11 +169,11 @@
 }
 
 /** Notes that the head of the group may serve, but is ordered no more. */
-void group_controller::giveUp(group_epoch epoch, std::optional<time_point> closeOrderedAt)
+void group_controller::giveUp(group_epoch epoch)
 {
     m_closure.recordAbandoned(epoch);
     if (m_recorded.contains(epoch)) {
-        m_givenUp[epoch] = {m_now, closeOrderedAt};
+        m_givenUp[epoch] = m_now;
     }
 }
 
@@ -188,7 +189,7 @@
         return true;
     }
     const auto givenUp = m_givenUp.find(record.epoch);
-    if (givenUp == m_givenUp.end() || m_now < givenUp->second.at + goneGroupRetention) {
+    if (givenUp == m_givenUp.end() || m_now < givenUp->second + goneGroupRetention) {
         return false;
     }
     return std::none_of(record.members.begin(), record.members.end(), [&](const engine_member_record &each) {
--- a/src/fleet_pipe/group_controller_weights.cpp
+++ b/src/fleet_pipe/group_controller_weights.cpp
@@ -76,7 +76,7 @@
 void group_controller::startStandby(const model_profile &model, const backend_id &backend, bool loadsFromStore)
 {
     standby &each = m_standby[backend];
-    each = {nextEpoch(), model.model, findEntry(backend)->record.startedAt, {}, {}, {}, loadsFromStore};
+    each = {nextEpoch(epoch_use::Standby), model.model, findEntry(backend)->record.startedAt, {}, {}, {}, loadsFromStore};
     each.expectedReadyAt = m_now + ceilDuration(loadsFromStore ? model.loadTime.value() : model.warmLoadTime.value());
     const engine_duration expected = model.warmLoadTime.value() + (loadsFromStore ? model.loadTime.value() * loadTimeoutFactor : engine_duration(0));
     each.deadline = m_now + ceilDuration(expected) + orderSlack;
--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -217,7 +217,7 @@
         updateFleetConfiguration();
         m_isFleetLeader = isFleetLeader;
         logEvent(event_number::FleetLed, {{"leads", isFleetLeader ? 1 : 0}, {"term", m_pipe->log().term()}});
-        runFleet(leadership_changed{isFleetLeader, m_pipe->log().term()});
+        runFleet(leadership_changed{isFleetLeader, m_pipe->log().term(), m_pipe->log().precedingTerm()});
     }
 }
 
--- a/tests/control/replicated_log_test.cpp
+++ b/tests/control/replicated_log_test.cpp
@@ -243,14 +243,17 @@
     EXPECT_TRUE(repeated);
 }
 
+/** Of the first election of a replica that starts in term 1. */
+constexpr log_term electionTerm(1 + termSpacing);
+
 TEST(ReplicatedLog, LeaderStepsDownWithoutRepliesFromAQuorum)
 {
     time_point now(std::chrono::hours(1));
     replicated_log log = startReplica(now);
     now += duration(1'000);
     log.step(log_tick{}, now);
-    log.step(log_message_received{idOf(2), vote_reply{log_term(2), true, true}}, now);
-    log.step(log_message_received{idOf(2), vote_reply{log_term(2), true, false}}, now);
+    log.step(log_message_received{idOf(2), vote_reply{electionTerm, true, true}}, now);
+    log.step(log_message_received{idOf(2), vote_reply{electionTerm, true, false}}, now);
     ASSERT_EQ(log.role(), log_role::Leader);
     log.step(log_tick{}, now + duration(499));
     EXPECT_EQ(log.role(), log_role::Leader);
@@ -278,14 +281,14 @@
     replicated_log log = startReplica(now);
     now += duration(1'000);
     log.step(log_tick{}, now);
-    log.step(log_message_received{idOf(2), vote_reply{log_term(2), true, true}}, now);
-    confirmAll(log, log.step(log_message_received{idOf(2), vote_reply{log_term(2), true, false}}, now), now);
+    log.step(log_message_received{idOf(2), vote_reply{electionTerm, true, true}}, now);
+    confirmAll(log, log.step(log_message_received{idOf(2), vote_reply{electionTerm, true, false}}, now), now);
     ASSERT_TRUE(log.holdsLeaderLease(now));
     log.step(log_leadership_transfer{}, now);
     for (int beat = 0; beat < 20; ++beat) {
         now += duration(50);
         confirmAll(log, log.step(log_tick{}, now), now);
-        EXPECT_FALSE(log.holdsLeaderLease(now) && log.term() == log_term(2)) << "after " << (beat + 1) * 50 << " ms";
+        EXPECT_FALSE(log.holdsLeaderLease(now) && log.term() == electionTerm) << "after " << (beat + 1) * 50 << " ms";
     }
 }
 
--- a/tests/fleet/group_closure_test.cpp
+++ b/tests/fleet/group_closure_test.cpp
@@ -37,9 +37,15 @@
         return *registry.find(backend_id(id));
     }
 
-    closure_proof proof(std::optional<time_point> closeOrderedAt = {}) const
+    closure_proof proof() const
     {
-        return closure.proofFor({epoch, &entry("head"), 1, closeOrderedAt});
+        return closure.proofFor(epoch, &entry("head"));
+    }
+
+    void leave(const std::string &id, group_epoch group = epoch, std::int64_t startedAt = 1)
+    {
+        closure.recordLeft({backend_id(id), group, startedAt, now});
+        closure.observe(registry);
     }
 
     backend_registry registry;
@@ -57,37 +63,57 @@
     registry.step(backend_failure{backend_id("head"), true}, now);
     closure.observe(registry);
     EXPECT_EQ(proof(), closure_proof::None);
-    EXPECT_EQ(proof(now), closure_proof::None);
     closure.recordAbandoned(epoch);
     EXPECT_FALSE(closure.isReleased(entry("member")));
 }
 
 TEST_F(GroupClosure, AnUnknownHeadMayServe)
 {
-    EXPECT_EQ(closure.proofFor({epoch, nullptr, {}, {}}), closure_proof::None);
+    EXPECT_EQ(closure.proofFor(epoch, nullptr), closure_proof::None);
 }
 
-TEST_F(GroupClosure, OnlyWhatTheHeadAnnouncesAfterTheOrderCounts)
+// Guards against an order to open that is carried out after the head has announced that it does not serve.
+TEST_F(GroupClosure, NothingThatTheHeadAnnouncesProvesItsEnd)
 {
     announce("head", 0, membership_state::Ready);
-    EXPECT_EQ(proof(now), closure_proof::None) << "it may be older than the order to open";
-    const time_point ordered = now;
+    EXPECT_EQ(proof(), closure_proof::None);
     announce("head", 0, membership_state::Ready);
-    EXPECT_EQ(proof(ordered), closure_proof::Reported);
+    EXPECT_EQ(proof(), closure_proof::None);
+    announce("head", 0, membership_state::None, 1, {});
+    EXPECT_EQ(proof(), closure_proof::None);
 }
 
-TEST_F(GroupClosure, AConfirmedClosureHoldsUntilTheHeadAnnouncesThatItServes)
+TEST_F(GroupClosure, AHeadThatHasLeftProvesItsEndUntilItAnnouncesThatItServes)
 {
-    closure.recordHeadClosed(epoch, now);
-    EXPECT_EQ(proof(), closure_proof::Confirmed);
+    leave("head");
+    EXPECT_EQ(proof(), closure_proof::Left);
     announce("head", 0, membership_state::Open);
     EXPECT_EQ(proof(), closure_proof::None);
 }
 
-TEST_F(GroupClosure, ALaterStartOfTheHeadProvesItsEnd)
+// Guards against orders that are carried out late by the next run of a head.
+TEST_F(GroupClosure, ALaterStartOfTheHeadProvesNothingUntilItsNewRunHasLeft)
 {
     announce("head", 0, membership_state::None, 2, group_epoch());
-    EXPECT_EQ(proof(), closure_proof::Restarted);
+    EXPECT_EQ(proof(), closure_proof::None);
+    leave("head", epoch, 1); // Answered by the run before.
+    EXPECT_EQ(proof(), closure_proof::None);
+    leave("head", epoch, 2);
+    EXPECT_EQ(proof(), closure_proof::Left);
+}
+
+// Guards against a group that is over and that the next run of its head joins and opens by late orders.
+TEST_F(GroupClosure, AnEndIsRevokedWhenItsHeadStartsAgain)
+{
+    leave("head");
+    closure.recordEnd(epoch, &entry("head"));
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+    announce("head", 0, membership_state::None, 2, group_epoch());
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    leave("head", epoch, 2);
+    closure.recordEnd(epoch, &entry("head"));
+    closure.observe(registry);
+    EXPECT_TRUE(closure.isReleased(entry("member")));
 }
 
 TEST_F(GroupClosure, ALaterServerAtTheAddressOfTheHeadProvesItsEnd)
@@ -99,7 +125,7 @@
 TEST_F(GroupClosure, AMemberIsReleasedOnceItHasLeft)
 {
     EXPECT_FALSE(closure.isReleased(entry("member")));
-    closure.recordLeft(backend_id("member"), epoch, now);
+    leave("member");
     EXPECT_TRUE(closure.isReleased(entry("member")));
     announce("member", 1, membership_state::Ready); // A late join of the same epoch.
     EXPECT_FALSE(closure.isReleased(entry("member")));
@@ -144,13 +170,21 @@
     EXPECT_FALSE(closure.isReleased(entry("member")));
 }
 
-TEST_F(RecordedGroup, ReleasesAServerThatHasLeftItOrStartedAgainOrJoinedALaterOne)
+TEST_F(RecordedGroup, ReleasesAServerThatHasLeftItOrJoinedALaterOne)
 {
-    closure.recordLeft(backend_id("member"), later, now);
+    leave("member", later);
     EXPECT_TRUE(closure.isReleased(entry("member")));
     EXPECT_FALSE(closure.isReleased(entry("head")));
-    announce("head", 0, membership_state::None, 2, {});
-    EXPECT_TRUE(closure.isReleased(entry("head")));
+}
+
+// Guards against an order to join that is carried out late by the next run of a server.
+TEST_F(RecordedGroup, BindsAServerThatHasStartedAgainUntilItsNewRunHasLeft)
+{
+    leave("member", later);
+    announce("member", 0, membership_state::None, 2, {});
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    leave("member", later, 2);
+    EXPECT_TRUE(closure.isReleased(entry("member")));
 }
 
 TEST_F(RecordedGroup, ReleasesItsServersOnceItHasEnded)
@@ -164,7 +198,7 @@
 TEST_F(RecordedGroup, ALaterStartOfItsHeadProvesNothingIfItReportsTheGroup)
 {
     announce("head", 0, membership_state::Ready, 2, later);
-    EXPECT_EQ(closure.proofFor({later, &entry("head"), 1, {}}), closure_proof::None);
-    announce("head", 0, membership_state::None, 2, {});
-    EXPECT_EQ(closure.proofFor({later, &entry("head"), 1, {}}), closure_proof::Restarted);
+    EXPECT_EQ(closure.proofFor(later, &entry("head")), closure_proof::None);
+    leave("head", later, 2);
+    EXPECT_EQ(closure.proofFor(later, &entry("head")), closure_proof::Left);
 }
--- a/tests/fleet/group_controller_test.cpp
+++ b/tests/fleet/group_controller_test.cpp
@@ -334,7 +334,7 @@
     const engine_group group = adoptFromHeadAlone(fleet);
     fleet.settle(15); // Longer than the adoption timeout.
     EXPECT_TRUE(fleet.open(largeModel).empty());
-    EXPECT_EQ(fleet.engines.at(group.head()).record.membership.state, membership_state::Ready);
+    EXPECT_EQ(fleet.engines.at(group.head()).record.membership.state, membership_state::None);
 }
 
 TEST(GroupController, FreesMembersOnceTheHeadConfirmsItsClosure)
--- a/tests/platform/front_end_test.cpp
+++ b/tests/platform/front_end_test.cpp
@@ -315,7 +315,7 @@
     const http_call out = frontEnd().encodeOrder({order_id(1),
                                                   backend_id("i-7"),
                                                   endpoint("10.0.0.1:80"),
-                                                  log_term(5),
+                                                  fencing_token(5),
                                                   join_group{group_epoch(12), model_id("m"), {backend_id("i-7"), backend_id("i-8")}}});
     const nlohmann::json body = nlohmann::json::parse(out.body);
     EXPECT_EQ(body["op"], "join");
@@ -329,7 +329,7 @@
 
 TEST(FrontEnd, EncodesTheOrderToLeaveAGroup)
 {
-    const http_call out = frontEnd().encodeOrder({order_id(1), backend_id("i-7"), endpoint("10.0.0.1:80"), log_term(5), leave_group{group_epoch(12)}});
+    const http_call out = frontEnd().encodeOrder({order_id(1), backend_id("i-7"), endpoint("10.0.0.1:80"), fencing_token(5), leave_group{group_epoch(12)}});
     const nlohmann::json body = nlohmann::json::parse(out.body);
     EXPECT_EQ(body["op"], "leave");
     EXPECT_EQ(body["group"], "g12");
@@ -458,7 +458,7 @@
     const backend_id odd("i-" + bytes);
     const std::vector<engine_order> orders{join_group{group_epoch(1), model_id("m" + bytes), {odd}}, stage_model{model_id(bytes)}};
     for (const engine_order &each : orders) {
-        const http_call call = frontEnd().encodeOrder({order_id(1), odd, endpoint("127.0.0.1:1"), log_term(1), each});
+        const http_call call = frontEnd().encodeOrder({order_id(1), odd, endpoint("127.0.0.1:1"), fencing_token(1), each});
         EXPECT_TRUE(nlohmann::json::accept(call.body)) << call.body;
     }
 }
--- a/tests/support/engine_fleet.h
+++ b/tests/support/engine_fleet.h
@@ -53,7 +53,11 @@
 
     void lead(std::uint64_t term, std::vector<engine_group> inherited = {})
     {
-        run(group_control_began{log_term(term), std::move(inherited), records()});
+        std::vector<backend_id> known;
+        for (const auto &[id, entry] : registry.entries()) {
+            known.push_back(id);
+        }
+        run(group_control_began{log_term(term), {}, std::move(inherited), records(), std::move(known)});
     }
 
     /** Lets every reachable engine report, then the controller reconcile and the engines execute its orders, @p times times. */
@@ -196,7 +200,8 @@
         }
         const order_outcome outcome = std::visit([&](const auto &what) { return execute(engine, what); }, order.what);
         if (!unanswering.contains(order.backend)) {
-            controller.step(order_finished{order.order, outcome}, now);
+            run(order_finished{order.order, outcome});
+            reconcile(); // As the fleet pipe does.
         }
     }
 
--- a/tests/support/replica_pair.h
+++ b/tests/support/replica_pair.h
@@ -4,13 +4,16 @@
 #include <carawayloft/fleet/fleet_pipe.h>
 
 #include "support/service_builder.h"
+#include "support/simulated_engine.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <functional>
 #include <map>
+#include <optional>
 
 namespace carawayloft::test_support {
 
@@ -31,7 +34,7 @@
     /** An engine that holds the large model and is in no group. */
     backend_id add(const std::string &name)
     {
-        engine_state engine;
+        simulated_engine engine;
         engine.record.backend = backend_id(name);
         engine.record.service = engineService;
         engine.record.address = endpoint("127.0.0.1:" + std::to_string(10'000 + engines.size()));
@@ -44,10 +47,17 @@
         return engine.record.backend;
     }
 
-    void lead(std::size_t replica, std::uint64_t term)
+    /** The replica leads in the @p number th term of the log. */
+    void lead(std::size_t replica, std::uint64_t number)
     {
+        const log_term term = termOf(replica, number);
+        if (term != m_lastTerm) {
+            m_precedingTerm = m_lastTerm;
+        }
+        m_lastTerm = term;
+        m_terms[replica] = term;
         step(replica, leader_lease_changed{true});
-        step(replica, leadership_changed{true, log_term(term)});
+        step(replica, leadership_changed{true, term, m_precedingTerm});
     }
 
     void loseLease(std::size_t replica)
@@ -59,7 +69,7 @@
     void stepDown(std::size_t replica, std::uint64_t term)
     {
         loseLease(replica);
-        step(replica, leadership_changed{false, log_term(term)});
+        step(replica, leadership_changed{false, log_term(term * termSpacing)});
         step(replica, recordedGroups());
     }
 
@@ -71,24 +81,16 @@
         }
     }
 
-    /** The engine starts again, in no group. */
+    /** The engine starts again under its id, in no group. Orders that are on their way reach the new run. */
     void restart(const backend_id &backend)
     {
-        engine_state &engine = engines.at(backend);
-        ++engine.record.startedAt;
-        engine.record.announcement = 0;
-        engine.record.membership = {};
-        engine.members.clear();
-        engine.highestEpoch = {};
-        engine.highestFence = {};
+        engines.at(backend).restart();
     }
 
     /** What the engine would announce now. */
     backend_record announce(const backend_id &backend)
     {
-        engine_state &engine = engines.at(backend);
-        ++engine.record.announcement;
-        return engine.record;
+        return engines.at(backend).announce();
     }
 
     void receive(std::size_t replica, const backend_record &record)
@@ -101,6 +103,7 @@
     {
         for (int i = 0; i < times; ++i) {
             now += duration(200);
+            carryOutLateOrders();
             for (const auto &[id, engine] : engines) {
                 receive(replica, announce(id));
             }
@@ -113,6 +116,7 @@
     {
         for (int i = 0; i < times; ++i) {
             now += duration(100);
+            carryOutLateOrders();
             step(replica, fleet_tick{});
         }
     }
@@ -129,21 +133,22 @@
             std::count_if(engines.begin(), engines.end(), [](const auto &each) { return each.second.record.membership.state == membership_state::Open; }));
     }
 
-    /** An engine that executes orders at once and refuses those with a lower epoch or fencing number. */
-    struct engine_state {
-        backend_record record;
-        std::vector<backend_id> members; /**< Of its group. */
-        group_epoch highestEpoch;
-        log_term highestFence;
-        bool takesOrders = true;
+    /** What becomes of one order on its way. */
+    struct order_fate {
+        bool isCarriedOut = true; /**< At once. */
+        bool isAnswered = true;
+        std::optional<duration> lateAfter; /**< It is carried out, perhaps once more, after this time. */
     };
 
-    std::map<backend_id, engine_state> engines;
+    std::map<backend_id, simulated_engine> engines;
     fleet_state log; /**< What both replicas have applied of the replicated log. */
     time_point now{std::chrono::hours(1)};
     std::optional<std::size_t> cutReplica; /**< Reaches no other replica, so it commits nothing and mirrors nothing. */
     bool mirrors = true; /**< Whether what a leader mirrors arrives. */
     std::array<std::size_t, 2> orders{}; /**< Sent by each replica. */
+    std::function<order_fate(const send_engine_order &)> fateOfOrder = [](const send_engine_order &) { return order_fate(); };
+    std::array<bool, 2> numbersByTerm{}; /**< Whether the replica is of a build that sends its term as the fencing token of each order, and whose terms follow
+                                            on one another. */
     std::size_t violations = 0; /**< Joins taken while the head of the engine's other group was open. */
 
 private:
@@ -154,7 +159,7 @@
         for (const fleet_pipe_output &each : m_pipes[replica].step(in, now)) {
             if (const auto *order = std::get_if<send_engine_order>(&each)) {
                 ++orders[replica];
-                answers.push_back({order->order, execute(*order)});
+                answers.push_back({order->order, deliver(replica, *order)});
             } else if (const auto *mirrored = std::get_if<mirror_fleet>(&each); mirrored != nullptr && cutReplica != replica && mirrors) {
                 m_pipes[1 - replica].step(fleet_mirrored{mirrored->publication}, now);
             } else if (const auto *proposal = std::get_if<group_records_proposed>(&each)) {
@@ -197,75 +202,58 @@
         return changed;
     }
 
-    order_outcome execute(const send_engine_order &order)
+    /** An order that is carried out after a while, whatever has happened to its engine since. */
+    struct late_order {
+        time_point due;
+        send_engine_order order;
+    };
+
+    log_term termOf(std::size_t replica, std::uint64_t number) const
     {
-        const auto found = engines.find(order.backend);
-        if (found == engines.end() || !found->second.takesOrders) {
-            return order_outcome::Unanswered;
-        }
-        engine_state &engine = found->second;
-        if (order.fence < engine.highestFence) {
-            return order_outcome::Fenced;
-        }
-        engine.highestFence = order.fence;
-        return std::visit([&](const auto &what) { return execute(engine, what); }, order.what);
+        return numbersByTerm[replica] ? log_term(m_lastTerm.value() + 1) : log_term(number * termSpacing);
     }
 
-    order_outcome execute(engine_state &engine, const join_group &order)
+    order_outcome deliver(std::size_t replica, send_engine_order order)
     {
-        if (order.epoch < engine.highestEpoch) {
-            return order_outcome::Fenced;
-        }
-        membership_report &own = engine.record.membership;
-        if (own.epoch == order.epoch) {
-            return order_outcome::Done;
+        if (numbersByTerm[replica]) {
+            order.fence = fencing_token(m_terms[replica].value());
         }
-        if (!engine.members.empty()) {
-            const membership_report &head = engines.at(engine.members.front()).record.membership;
-            violations += head.epoch == own.epoch && head.state == membership_state::Open ? 1 : 0;
+        const auto found = engines.find(order.backend);
+        if (found == engines.end() || !found->second.takesOrders) {
+            return order_outcome::Unanswered;
         }
-        engine.highestEpoch = order.epoch;
-        engine.members = order.members;
-        const auto place = std::find(order.members.begin(), order.members.end(), engine.record.backend);
-        own = {order.epoch, static_cast<std::uint32_t>(place - order.members.begin()), membership_state::Ready};
-        engine.record.loaded = order.model;
-        return order_outcome::Begun;
-    }
-
-    static order_outcome execute(engine_state &engine, const open_group &order)
-    {
-        membership_report &own = engine.record.membership;
-        if (own.epoch != order.epoch || own.rank != 0) {
-            return order_outcome::Conflict;
+        const order_fate fate = fateOfOrder(order);
+        const order_outcome outcome = fate.isCarriedOut ? execute(order) : order_outcome::Unanswered;
+        if (fate.lateAfter) {
+            m_late.push_back({now + *fate.lateAfter, std::move(order)});
         }
-        own.state = membership_state::Open;
-        return order_outcome::Begun;
+        return fate.isAnswered ? outcome : order_outcome::Unanswered;
     }
 
-    static order_outcome execute(engine_state &engine, const close_group &order)
+    void carryOutLateOrders()
     {
-        membership_report &own = engine.record.membership;
-        if (own.epoch != order.epoch) {
-            return order_outcome::Conflict;
+        const auto isDue = [this](const late_order &each) { return each.due <= now; };
+        std::stable_sort(m_late.begin(), m_late.end(), [](const late_order &one, const late_order &other) { return one.due < other.due; });
+        while (!m_late.empty() && isDue(m_late.front())) {
+            execute(m_late.front().order);
+            m_late.pop_front();
         }
-        own.state = membership_state::Ready;
-        return order_outcome::Done;
     }
 
-    static order_outcome execute(engine_state &engine, const leave_group &order)
+    /** Judges the rule at the engine: no join of another group while the head of the group that the engine has not left serves. */
+    order_outcome execute(const send_engine_order &order)
     {
-        if (engine.record.membership.epoch == order.epoch) {
-            engine.record.membership = {};
-            engine.members.clear();
+        simulated_engine &engine = engines.at(order.backend);
+        if (engine.wouldChangeGroup(order.what, order.fence)) {
+            violations += engines.at(engine.members.front()).serves(engine.record.membership.epoch) ? 1 : 0;
         }
-        return order_outcome::Done;
-    }
-
-    static order_outcome execute(engine_state &, const stage_model &)
-    {
-        return order_outcome::Begun;
+        return engine.execute(order.what, order.fence);
     }
 
+    std::deque<late_order> m_late;
+    std::array<log_term, 2> m_terms{}; /**< In which each replica led last. */
+    log_term m_lastTerm;
+    log_term m_precedingTerm;
     std::array<fleet_pipe, 2> m_pipes;
 };
 
