A server that starts again is used once it has reported no group after its answer

A server that had started again carried out a late join and a late open, and only then the order to leave a group that never was. Its last announcement, that it was in no group, was older; it was joined to another group while it served.

Cause: the answer proves that older orders are refused from then on, not that none has been carried out before.

Change: the server is free with its next announcement after the answer. A group can be joined by no older order by then, so what it says holds.

Orders in the property can now be overtaken, with their answers coming late.

fenceEarlierOrders() is the name of what was orderToLeaveAny().

--- a/include/carawayloft/fleet/group_closure.h
+++ b/include/carawayloft/fleet/group_closure.h
@@ -54,6 +54,7 @@
     /** The group was given up, but its head may serve. */
     void recordAbandoned(group_epoch epoch);
 
+    /** A server has answered an order to leave. */
     void recordLeft(const confirmed_leave &leave);
 
     /** Forgets what servers answered that the registry knows no more. */
@@ -74,8 +75,9 @@
     bool isBoundByRecord(const backend_registry::entry &entry, group_epoch epoch) const;
 
     /**
-     * Whether a server that reports no group may join one by an order that an earlier run of it did not answer. It may not
-     * once its present run has answered an order to leave, or if no leader can have ordered an earlier one.
+     * Whether a server that reports no group may join one, or have joined one, by an order that an earlier run of it did not
+     * answer. It may not if no leader can have ordered an earlier run, or once its present run has answered an order to
+     * leave, from which on it refuses older ones, and has reported no group after that.
      */
     bool mayJoinLate(const backend_registry::entry &entry) const;
 
@@ -108,6 +110,7 @@
     void reopenAfterRestart(group_epoch epoch, const backend_registry &registry);
     const confirmed_leave *findLeave(const backend_registry::entry &entry, group_epoch epoch) const;
     bool hasLeftSince(const backend_registry::entry &entry, group_epoch epoch) const;
+    bool hasReportedSinceLeave(const backend_registry::entry &entry) const;
     bool hasLeft(const backend_registry::entry &entry) const;
     bool isReportOutdated(const backend_registry::entry &entry) const;
 
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -215,7 +215,7 @@
     bool mayReachHead(const managed_group &each) const;
     void abandon(managed_group &each, const char *reason);
     void orderToLeave(const backend_id &member, group_epoch epoch);
-    void orderToLeaveAny(const backend_id &member);
+    void fenceEarlierOrders(const backend_id &member);
     void orderToJoin(managed_group &each, const backend_id &member);
     bool isReleasing() const;
     const char *missingMemberReason(const managed_group &each) const;
--- a/src/fleet_pipe/group_closure.cpp
+++ b/src/fleet_pipe/group_closure.cpp
@@ -1,5 +1,7 @@
 #include <carawayloft/fleet/group_closure.h>
 
+#include <algorithm>
+
 namespace carawayloft {
 
 /** Number of groups of one server that are kept; the order to leave an earlier one is sent again if the answer is needed. */
@@ -152,6 +154,18 @@
            && leaves->second.rbegin()->first >= epoch;
 }
 
+/** Whether the present run of the server has answered an order to leave, and has announced itself since. */
+bool group_closure::hasReportedSinceLeave(const backend_registry::entry &entry) const
+{
+    const auto leaves = m_left.find(entry.record.backend);
+    if (leaves == m_left.end()) {
+        return false;
+    }
+    return std::any_of(leaves->second.begin(), leaves->second.end(), [&](const auto &each) {
+        return each.second.startedAt == entry.record.startedAt && entry.heardAt > each.second.at;
+    });
+}
+
 /** Whether the server has left the group that it last reported. */
 bool group_closure::hasLeft(const backend_registry::entry &entry) const
 {
@@ -190,7 +204,7 @@
 
 bool group_closure::mayJoinLate(const backend_registry::entry &entry) const
 {
-    if (entry.record.membership.epoch.value() != 0 || hasLeftSince(entry, group_epoch())) {
+    if (entry.record.membership.epoch.value() != 0 || hasReportedSinceLeave(entry)) {
         return false;
     }
     const auto first = m_firstRuns.find(entry.record.backend);
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -343,7 +343,7 @@
     const backend_registry::entry &entry = *findEntry(member);
     const group_epoch reported = entry.record.membership.epoch;
     if (reported != epoch && !isStandbyEpoch(reported) && !m_closure.isOutOfReportedGroup(entry)) {
-        reported.value() == 0 ? orderToLeaveAny(member) : orderToLeave(member, reported);
+        reported.value() == 0 ? fenceEarlierOrders(member) : orderToLeave(member, reported);
         return;
     }
     send(each.joinOrders[member], epoch, member, join_group{epoch, each.group.model, each.group.members}, orderResendDelay);
--- a/src/fleet_pipe/group_controller_adoption.cpp
+++ b/src/fleet_pipe/group_controller_adoption.cpp
@@ -38,7 +38,7 @@
         const managed_group *group = findGroup(id);
         const bool isUnused = (group == nullptr || group->group.phase == group_phase::Closing) && !m_standby.contains(id);
         if (isEngine && isUnused && entry.record.state == backend_state::Ready && m_closure.mayJoinLate(entry)) {
-            orderToLeaveAny(id);
+            fenceEarlierOrders(id);
         }
     }
 }
--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -140,7 +140,7 @@
 }
 
 /** Orders the server to leave a group that never was: once it has answered, it refuses all orders to an earlier run of it. */
-void group_controller::orderToLeaveAny(const backend_id &member)
+void group_controller::fenceEarlierOrders(const backend_id &member)
 {
     orderToLeave(member, neverFormed);
 }
--- a/tests/fleet/group_closure_test.cpp
+++ b/tests/fleet/group_closure_test.cpp
@@ -184,6 +184,8 @@
     announce("member", 0, membership_state::None, 2, {});
     EXPECT_FALSE(closure.isReleased(entry("member")));
     leave("member", later, 2);
+    EXPECT_FALSE(closure.isReleased(entry("member"))) << "it may have joined another one since it announced this";
+    announce("member", 0, membership_state::None, 2, {});
     EXPECT_TRUE(closure.isReleased(entry("member")));
 }
 
--- a/tests/fleet/late_orders_test.cpp
+++ b/tests/fleet/late_orders_test.cpp
@@ -143,11 +143,12 @@
 
 namespace {
 
-/** What becomes of an order: half of them are answered; the others are lost, carried out unanswered, late, or doubled. */
+/** What becomes of an order: half of them are answered; the others are lost, carried out unanswered, late, doubled, or overtaken by others before they are
+ * answered. */
 replica_pair::order_fate randomFate()
 {
     const duration late(*rc::gen::inRange(2'000, 12'000));
-    switch (*rc::gen::inRange(0, 10)) {
+    switch (*rc::gen::inRange(0, 12)) {
     case 0:
         return {false, false, std::nullopt};
     case 1:
@@ -157,6 +158,8 @@
     case 3:
     case 4:
         return lateBy(late);
+    case 5:
+        return {false, false, duration(*rc::gen::inRange(50, 400)), true};
     default:
         return {};
     }
--- a/tests/support/replica_pair.h
+++ b/tests/support/replica_pair.h
@@ -138,6 +138,7 @@
         bool isCarriedOut = true; /**< At once. */
         bool isAnswered = true;
         std::optional<duration> lateAfter; /**< It is carried out, perhaps once more, after this time. */
+        bool isAnsweredLate = false; /**< Whether the answer comes after that time; later orders may have overtaken this one. */
     };
 
     std::map<backend_id, simulated_engine> engines;
@@ -159,7 +160,9 @@
         for (const fleet_pipe_output &each : m_pipes[replica].step(in, now)) {
             if (const auto *order = std::get_if<send_engine_order>(&each)) {
                 ++orders[replica];
-                answers.push_back({order->order, deliver(replica, *order)});
+                if (const std::optional<order_outcome> outcome = deliver(replica, *order)) {
+                    answers.push_back({order->order, *outcome});
+                }
             } else if (const auto *mirrored = std::get_if<mirror_fleet>(&each); mirrored != nullptr && cutReplica != replica && mirrors) {
                 m_pipes[1 - replica].step(fleet_mirrored{mirrored->publication}, now);
             } else if (const auto *proposal = std::get_if<group_records_proposed>(&each)) {
@@ -206,6 +209,7 @@
     struct late_order {
         time_point due;
         send_engine_order order;
+        std::optional<std::size_t> answeredTo; /**< The replica, if it gets an answer. */
     };
 
     log_term termOf(std::size_t replica, std::uint64_t number) const
@@ -213,7 +217,8 @@
         return numbersByTerm[replica] ? log_term(m_lastTerm.value() + 1) : log_term(number * termSpacing);
     }
 
-    order_outcome deliver(std::size_t replica, send_engine_order order)
+    /** Carries out the order or not, now or later; none is the outcome of an order whose answer is on its way. */
+    std::optional<order_outcome> deliver(std::size_t replica, send_engine_order order)
     {
         if (numbersByTerm[replica]) {
             order.fence = fencing_token(m_terms[replica].value());
@@ -225,18 +230,24 @@
         const order_fate fate = fateOfOrder(order);
         const order_outcome outcome = fate.isCarriedOut ? execute(order) : order_outcome::Unanswered;
         if (fate.lateAfter) {
-            m_late.push_back({now + *fate.lateAfter, std::move(order)});
+            m_late.push_back({now + *fate.lateAfter, std::move(order), fate.isAnsweredLate ? std::optional(replica) : std::nullopt});
+        }
+        if (fate.isAnsweredLate) {
+            return std::nullopt;
         }
         return fate.isAnswered ? outcome : order_outcome::Unanswered;
     }
 
     void carryOutLateOrders()
     {
-        const auto isDue = [this](const late_order &each) { return each.due <= now; };
         std::stable_sort(m_late.begin(), m_late.end(), [](const late_order &one, const late_order &other) { return one.due < other.due; });
-        while (!m_late.empty() && isDue(m_late.front())) {
-            execute(m_late.front().order);
+        while (!m_late.empty() && m_late.front().due <= now) {
+            const late_order next = m_late.front();
             m_late.pop_front();
+            const order_outcome outcome = execute(next.order);
+            if (next.answeredTo) {
+                step(*next.answeredTo, order_finished{next.order.order, outcome});
+            }
         }
     }
 
