Servers that report no group are used sooner after a change of leader

After each change of leader those without a group stood idle for up to a check-in.

Change: the announcement is awaited only of a run whose start this leader has seen.

LateOrders, GroupClosure, RecordedGroup, LeaderHandover and GroupController tests pass.

--- a/include/carawayloft/fleet/group_closure.h
+++ b/include/carawayloft/fleet/group_closure.h
@@ -77,7 +77,8 @@
     /**
      * Whether a server that reports no group may join one, or have joined one, by an order that an earlier run of it did not
      * answer. It may not if no leader can have ordered an earlier run, or once its present run has answered an order to
-     * leave, from which on it refuses older ones, and has reported no group after that.
+     * leave, from which on it refuses older ones. A run whose start this leader has seen must have reported no group after
+     * that, since it may have carried out older orders before.
      */
     bool mayJoinLate(const backend_registry::entry &entry) const;
 
@@ -119,7 +120,8 @@
     std::set<group_epoch> m_serving; /**< Groups whose head announces that it serves. */
     std::map<backend_id, std::map<group_epoch, confirmed_leave>> m_left; /**< The latest groups that the last run of each server has left. */
     std::map<backend_id, recorded_membership> m_recorded;
-    std::map<backend_id, std::optional<std::int64_t>> m_firstRuns; /**< Start of the first run of each server; none if earlier leaders may have known it. */
+    std::set<backend_id> m_known; /**< Servers that earlier leaders may have known. */
+    std::map<backend_id, std::int64_t> m_firstRuns; /**< Start of the first run of each server that this leader has heard of. */
 };
 
 } // namespace carawayloft
--- a/src/fleet_pipe/group_closure.cpp
+++ b/src/fleet_pipe/group_closure.cpp
@@ -33,9 +33,7 @@
 
 void group_closure::setKnown(const std::vector<backend_id> &servers)
 {
-    for (const backend_id &each : servers) {
-        m_firstRuns.emplace(each, std::nullopt);
-    }
+    m_known.insert(servers.begin(), servers.end());
 }
 
 void group_closure::setRecords(const std::vector<engine_group_record> &records)
@@ -43,7 +41,9 @@
     m_recorded.clear();
     for (const engine_group_record &group : records) {
         for (const engine_member_record &member : group.members) {
-            m_firstRuns.try_emplace(member.backend, std::nullopt);
+            if (!m_firstRuns.contains(member.backend)) {
+                m_known.insert(member.backend);
+            }
             recorded_membership &latest = m_recorded[member.backend];
             if (latest.epoch < group.epoch) {
                 latest = {group.epoch, member.startedAt};
@@ -112,6 +112,7 @@
 {
     std::erase_if(m_left, [&](const auto &each) { return registry.find(each.first) == nullptr; });
     std::erase_if(m_firstRuns, [&](const auto &each) { return registry.find(each.first) == nullptr; });
+    std::erase_if(m_known, [&](const backend_id &each) { return registry.find(each) == nullptr; });
 }
 
 closure_proof group_closure::proofFor(group_epoch epoch, const backend_registry::entry *head) const
@@ -208,7 +209,9 @@
         return false;
     }
     const auto first = m_firstRuns.find(entry.record.backend);
-    return first == m_firstRuns.end() || first->second != entry.record.startedAt;
+    const bool isFirstRun = first != m_firstRuns.end() && first->second == entry.record.startedAt;
+    const bool isKnown = m_known.contains(entry.record.backend);
+    return !isFirstRun || (isKnown && !hasLeftSince(entry, group_epoch()));
 }
 
 bool group_closure::isOutOfReportedGroup(const backend_registry::entry &entry) const
