A server joins another group only once it has left its own

Cause: not shown.

What was found is where the rule rests on more than the engine's own word: a member counted as free because control believed that the head of its group had left, and a new leader knew of that only as long as the group stood in the log, from which it was removed while members were still in it. Any mistake in who is the head, which run answered or what was heard when takes such a member from one group straight into the other.

Change: a server counts as free once its own present run has answered an order to leave the group that it reports or was last chosen for. Members get that order with the head's. A group stays in the log until its head has left it and its members have, or are gone; a server stays bound to its latest recorded group also once that is removed. So a join reaches a server only behind its own leave, with a higher number, and no order to join lies between the two. Standbys are left out: their own group never opens.

Why this works: an order with a lower number is refused by the engine that has answered. Whatever control believes of heads, records and announcements, the engine is in no group when it takes the join.

RecordedGroup.ReleasesItsServersOnceItHasEnded and two more asserted that the end of a group frees its members; they now assert the end itself, and that members are bound until they have left. The epoch in that file was odd, which stands for a standby; it is even now.

--- a/include/carawayloft/fleet/fleet_records.h
+++ b/include/carawayloft/fleet/fleet_records.h
@@ -19,6 +19,12 @@
     Lost, /**< Unreachable. */
 };
 
+/** Whether the group is that of one standby, whose head is never told to open; such epochs are odd. */
+constexpr bool isStandbyEpoch(group_epoch epoch)
+{
+    return epoch.value() % 2 == 1;
+}
+
 /** An engine's state in its group, as it reports it. */
 enum class membership_state : std::uint8_t {
     None,
--- a/include/carawayloft/fleet/group_closure.h
+++ b/include/carawayloft/fleet/group_closure.h
@@ -74,6 +74,9 @@
     /** Whether the server may be in the group by its record in the log. */
     bool isBoundByRecord(const backend_registry::entry &entry, group_epoch epoch) const;
 
+    /** Whether the server may be in the group, by what it reports or by its record. */
+    bool mayBeIn(const backend_registry::entry &entry, group_epoch epoch) const;
+
     /**
      * Whether a server that reports no group may join one, or have joined one, by an order that an earlier run of it did not
      * answer. It may not if no leader can have ordered an earlier run, or once its present run has answered an order to
--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -212,6 +212,8 @@
     void reconcileClosing(managed_group &each);
     bool mayHeadLeave(const managed_group &each) const;
     void orderHeadToEnd(managed_group &each);
+    void orderMembersToLeave(const engine_group &group);
+    void releaseMembers();
     bool mayReachHead(const managed_group &each) const;
     void abandon(managed_group &each, const char *reason);
     void orderToLeave(const backend_id &member, group_epoch epoch);
@@ -296,7 +298,6 @@
 
     void send(tracked_order &slot, group_epoch epoch, const backend_id &backend, engine_order what, duration resendDelay);
     group_epoch nextEpoch(epoch_use use);
-    static bool isStandbyEpoch(group_epoch epoch);
     const backend_registry::entry *findEntry(const backend_id &backend) const;
 
     time_point m_now;
--- a/src/fleet_pipe/group_closure.cpp
+++ b/src/fleet_pipe/group_closure.cpp
@@ -38,7 +38,6 @@
 
 void group_closure::setRecords(const std::vector<engine_group_record> &records)
 {
-    m_recorded.clear();
     for (const engine_group_record &group : records) {
         for (const engine_member_record &member : group.members) {
             if (!m_firstRuns.contains(member.backend)) {
@@ -113,6 +112,7 @@
     std::erase_if(m_left, [&](const auto &each) { return registry.find(each.first) == nullptr; });
     std::erase_if(m_firstRuns, [&](const auto &each) { return registry.find(each.first) == nullptr; });
     std::erase_if(m_known, [&](const backend_id &each) { return registry.find(each) == nullptr; });
+    std::erase_if(m_recorded, [&](const auto &each) { return registry.find(each.first) == nullptr; });
 }
 
 closure_proof group_closure::proofFor(group_epoch epoch, const backend_registry::entry *head) const
@@ -197,12 +197,17 @@
     const auto recorded = m_recorded.find(entry.record.backend);
     const bool isMember = recorded != m_recorded.end() && recorded->second.epoch == epoch;
     // Epochs of one run only grow, so a later one shows that it is out of this group.
-    if (!isMember || entry.record.membership.epoch > epoch || hasEnded(epoch)) {
+    if (!isMember || entry.record.membership.epoch > epoch) {
         return false;
     }
     return !hasLeftSince(entry, epoch);
 }
 
+bool group_closure::mayBeIn(const backend_registry::entry &entry, group_epoch epoch) const
+{
+    return (entry.record.membership.epoch == epoch && !isReleasedByReport(entry)) || isBoundByRecord(entry, epoch);
+}
+
 bool group_closure::mayJoinLate(const backend_registry::entry &entry) const
 {
     if (entry.record.membership.epoch.value() != 0 || hasReportedSinceLeave(entry)) {
@@ -217,7 +222,10 @@
 bool group_closure::isOutOfReportedGroup(const backend_registry::entry &entry) const
 {
     const group_epoch epoch = entry.record.membership.epoch;
-    return epoch.value() == 0 ? !mayJoinLate(entry) : hasLeft(entry) || hasEnded(epoch);
+    if (epoch.value() == 0) {
+        return !mayJoinLate(entry);
+    }
+    return isStandbyEpoch(epoch) ? hasEnded(epoch) : hasLeft(entry);
 }
 
 bool group_closure::isReleasedByReport(const backend_registry::entry &entry) const
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -156,6 +156,7 @@
     for (const group_epoch &epoch : epochs) {
         reconcileGroup(m_groups.at(epoch));
     }
+    releaseMembers();
     reconcileStandbys();
     reconcileStaging();
     const bool releasing = isReleasing();
@@ -182,18 +183,12 @@
     return m_context->registry.find(backend);
 }
 
-/** Epochs of standbys are odd. */
 group_epoch group_controller::nextEpoch(epoch_use use)
 {
     m_epochsUsed += 2;
     return group_epoch(m_term.value() * epochsPerTerm + m_epochsUsed + (use == epoch_use::Standby ? 1 : 0));
 }
 
-bool group_controller::isStandbyEpoch(group_epoch epoch)
-{
-    return epoch.value() % 2 == 1;
-}
-
 /** Sends the order unless it was answered, or was sent less than @p resendDelay ago. */
 void group_controller::send(tracked_order &slot, group_epoch epoch, const backend_id &backend, engine_order what, duration resendDelay)
 {
--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -77,6 +77,7 @@
     const group_epoch epoch = each.group.epoch;
     if (mayHeadLeave(each)) {
         orderToLeave(each.group.head(), epoch);
+        orderMembersToLeave(each.group);
         return;
     }
     // While the head reports that it serves, the order may have been lost after it was answered.
@@ -117,16 +118,36 @@
     const engine_group group = each.group;
     giveUp(group.epoch);
     dissolve(group.epoch, reason);
+    orderMembersToLeave(group);
+}
+
+/** Orders the members beside the head to leave the group, as far as they may be in it and can be reached. */
+void group_controller::orderMembersToLeave(const engine_group &group)
+{
     for (const backend_id &member : group.members) {
         const backend_registry::entry *entry = findEntry(member);
         const bool isPresent = entry != nullptr && (entry->record.state == backend_state::Ready || entry->record.state == backend_state::Draining);
-        const bool mayBeIn = isPresent && (entry->record.membership.epoch == group.epoch || m_closure.isBoundByRecord(*entry, group.epoch));
-        if (member != group.head() && mayBeIn) {
+        if (member != group.head() && isPresent && m_closure.mayBeIn(*entry, group.epoch)) {
             orderToLeave(member, group.epoch);
         }
     }
 }
 
+/** Has the servers without a group leave the ones that are over, which they have to before they join another one. */
+void group_controller::releaseMembers()
+{
+    for (const auto &[id, entry] : m_context->registry.entries()) {
+        if (entry.record.state != backend_state::Ready || findGroup(id) != nullptr || m_standby.contains(id)) {
+            continue;
+        }
+        for (const group_epoch &epoch : {entry.record.membership.epoch, m_closure.recordedEpoch(id)}) {
+            if (m_closure.hasEnded(epoch) && !isStandbyEpoch(epoch) && m_closure.mayBeIn(entry, epoch)) {
+                orderToLeave(id, epoch);
+            }
+        }
+    }
+}
+
 /** Sends the order until this run of the server has answered that it is not in the group. */
 void group_controller::orderToLeave(const backend_id &member, group_epoch epoch)
 {
@@ -151,8 +172,7 @@
     return std::any_of(m_departures.begin(), m_departures.end(), [&](const auto &each) {
         const auto &[backend, epoch] = each.first;
         const backend_registry::entry *entry = m_now < each.second.requestedAt + leaveAnswerTime ? findEntry(backend) : nullptr;
-        const bool mayBeIn = entry != nullptr && (entry->record.membership.epoch == epoch || m_closure.isBoundByRecord(*entry, epoch));
-        return mayBeIn && !m_closure.isReleased(*entry);
+        return entry != nullptr && m_closure.mayBeIn(*entry, epoch);
     });
 }
 
--- a/src/fleet_pipe/group_controller_records.cpp
+++ b/src/fleet_pipe/group_controller_records.cpp
@@ -140,12 +140,6 @@
     return entry != nullptr && (entry->record.state == backend_state::Ready || entry->record.state == backend_state::Draining);
 }
 
-/** Whether the server may be in the group, by what it reports or by its record. */
-static bool mayBeIn(const group_closure &closure, const backend_registry::entry &entry, group_epoch epoch)
-{
-    return (entry.record.membership.epoch == epoch && !closure.isReleasedByReport(entry)) || closure.isBoundByRecord(entry, epoch);
-}
-
 /** Has the members of a group that was given up leave it, and closes it again once its head is heard. */
 void group_controller::release(const engine_group_record &record)
 {
@@ -153,7 +147,7 @@
     const backend_id &headId = record.members.front().backend;
     const backend_registry::entry *head = findEntry(headId);
     const bool isHeadHeard = isPresent(head) && head->heardAt > givenUpAt;
-    if (isHeadHeard && mayBeIn(m_closure, *head, record.epoch)) {
+    if (isHeadHeard && m_closure.mayBeIn(*head, record.epoch)) {
         close(insertRecorded(record), true, "its head is heard again");
         return;
     }
@@ -162,7 +156,7 @@
     }
     for (const engine_member_record &each : record.members) {
         const backend_registry::entry *entry = findEntry(each.backend);
-        if (each.backend != headId && isPresent(entry) && mayBeIn(m_closure, *entry, record.epoch)) {
+        if (each.backend != headId && isPresent(entry) && m_closure.mayBeIn(*entry, record.epoch)) {
             orderToLeave(each.backend, record.epoch);
         }
     }
@@ -182,20 +176,16 @@
     return m_recorded.contains(each.group.epoch);
 }
 
-/** Whether nobody can be in the group any more: its head does not serve it, or all of its servers have left it or are long gone. */
+/** Whether nobody can be in the group any more: all of its servers have left it or are gone, and its head does not serve it or is long gone. */
 bool group_controller::isOver(const engine_group_record &record) const
 {
-    if (m_closure.hasEnded(record.epoch)) {
-        return true;
-    }
-    const auto givenUp = m_givenUp.find(record.epoch);
-    if (givenUp == m_givenUp.end() || m_now < givenUp->second + goneGroupRetention) {
-        return false;
-    }
-    return std::none_of(record.members.begin(), record.members.end(), [&](const engine_member_record &each) {
+    const bool isVacant = std::none_of(record.members.begin(), record.members.end(), [&](const engine_member_record &each) {
         const backend_registry::entry *entry = findEntry(each.backend);
-        return entry != nullptr && mayBeIn(m_closure, *entry, record.epoch);
+        return isPresent(entry) && m_closure.mayBeIn(*entry, record.epoch);
     });
+    const auto givenUp = m_givenUp.find(record.epoch);
+    const bool isHeadLongGone = givenUp != m_givenUp.end() && m_now >= givenUp->second + goneGroupRetention;
+    return isVacant && (m_closure.hasEnded(record.epoch) || isHeadLongGone);
 }
 
 engine_group_record group_controller::recordOf(const managed_group &each) const
--- a/tests/fleet/group_closure_test.cpp
+++ b/tests/fleet/group_closure_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr group_epoch epoch(7);
+constexpr group_epoch epoch(6);
 const time_point start(std::chrono::hours(1));
 
 /** A group of a head and one member, both known to the registry. */
@@ -107,13 +107,13 @@
 {
     leave("head");
     closure.recordEnd(epoch, &entry("head"));
-    EXPECT_TRUE(closure.isReleased(entry("member")));
+    EXPECT_TRUE(closure.hasEnded(epoch));
     announce("head", 0, membership_state::None, 2, group_epoch());
-    EXPECT_FALSE(closure.isReleased(entry("member")));
+    EXPECT_FALSE(closure.hasEnded(epoch));
     leave("head", epoch, 2);
     closure.recordEnd(epoch, &entry("head"));
     closure.observe(registry);
-    EXPECT_TRUE(closure.isReleased(entry("member")));
+    EXPECT_TRUE(closure.hasEnded(epoch));
 }
 
 TEST_F(GroupClosure, ALaterServerAtTheAddressOfTheHeadProvesItsEnd)
@@ -137,9 +137,29 @@
 {
     announce("head", 0, membership_state::Ready);
     closure.recordEnd(epoch);
-    EXPECT_TRUE(closure.isReleased(entry("member")));
+    EXPECT_TRUE(closure.hasEnded(epoch));
     announce("head", 0, membership_state::Open);
+    EXPECT_FALSE(closure.hasEnded(epoch));
+}
+
+// Guards against a server that is made to join another group on the word of the head alone that its group is over.
+TEST_F(GroupClosure, TheEndOfAGroupReleasesNoServerThatHasNotLeftIt)
+{
+    leave("head");
+    closure.recordEnd(epoch, &entry("head"));
+    EXPECT_TRUE(closure.isReleased(entry("head")));
     EXPECT_FALSE(closure.isReleased(entry("member")));
+    leave("member");
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+}
+
+TEST_F(GroupClosure, TheEndOfTheGroupOfAStandbyReleasesIt)
+{
+    const group_epoch standby(9);
+    announce("member", 0, membership_state::Ready, 1, standby);
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    closure.recordEnd(standby);
+    EXPECT_TRUE(closure.isReleased(entry("member")));
 }
 
 namespace {
@@ -189,10 +209,21 @@
     EXPECT_TRUE(closure.isReleased(entry("member")));
 }
 
-TEST_F(RecordedGroup, ReleasesItsServersOnceItHasEnded)
+TEST_F(RecordedGroup, BindsItsServersUntilTheyHaveLeftItAlsoOnceItHasEnded)
 {
     closure.recordEnd(later);
-    EXPECT_TRUE(closure.isReleased(entry("head")));
+    EXPECT_FALSE(closure.isReleased(entry("head")));
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    leave("member", later);
+    EXPECT_TRUE(closure.isReleased(entry("member")));
+}
+
+// Guards against a late join of a group that is no longer in the log.
+TEST_F(RecordedGroup, BindsItsServersUntilTheyHaveLeftItAlsoOnceItIsRemoved)
+{
+    closure.setRecords({});
+    EXPECT_FALSE(closure.isReleased(entry("member")));
+    leave("member", later);
     EXPECT_TRUE(closure.isReleased(entry("member")));
 }
 
--- a/tests/fleet/late_orders_test.cpp
+++ b/tests/fleet/late_orders_test.cpp
@@ -120,6 +120,37 @@
     EXPECT_EQ(replicas.openHeads(), replicas.groups(leader).size());
 }
 
+// Guards against a member that goes from one group straight into another one, on control's word that the first one is over.
+TEST_F(LateOrders, AMemberLeavesItsGroupBeforeItJoinsAnotherOne)
+{
+    replicas.lead(leader, 3);
+    replicas.settle(leader, 10);
+    const engine_group before = firstGroup();
+    replicas.restart(before.members.back());
+    replicas.settle(leader, 40);
+    EXPECT_NE(firstGroup().epoch, before.epoch);
+    EXPECT_EQ(replicas.openHeads(), 2U);
+    EXPECT_EQ(replicas.directMoves, 0U);
+}
+
+// Guards against a group that a new leader knows nothing of, since its head has left it, while members have not: they count as free.
+TEST_F(LateOrders, AGroupStaysInTheLogUntilItsMembersHaveLeftIt)
+{
+    replicas.lead(leader, 3);
+    replicas.settle(leader, 10);
+    const engine_group before = firstGroup();
+    const backend_id member = before.members[1];
+    replicas.fateOfOrder = [&](const send_engine_order &order) { return order.backend == member ? lost : replica_pair::order_fate(); };
+    replicas.restart(before.members.back());
+    replicas.settle(leader, 10);
+    EXPECT_FALSE(replicas.engines.at(before.head()).serves(before.epoch));
+    EXPECT_TRUE(replicas.log.engineGroups().contains(before.epoch));
+    replicas.fateOfOrder = [](const send_engine_order &) { return replica_pair::order_fate(); };
+    replicas.settle(leader, 40);
+    EXPECT_FALSE(replicas.log.engineGroups().contains(before.epoch));
+    EXPECT_EQ(replicas.directMoves, 0U);
+}
+
 // Guards against an update in which replicas of an earlier build, which number orders by their term alone, are refused by all engines.
 TEST_F(LateOrders, ReplicasOfAnEarlierBuildAndOfThisOneLeadAfterEachOther)
 {
--- a/tests/support/replica_pair.h
+++ b/tests/support/replica_pair.h
@@ -151,6 +151,7 @@
     std::array<bool, 2> numbersByTerm{}; /**< Whether the replica is of a build that sends its term as the fencing token of each order, and whose terms follow
                                             on one another. */
     std::size_t violations = 0; /**< Joins taken while the head of the engine's other group was open. */
+    std::size_t directMoves = 0; /**< Joins taken by an engine that had not left its other group, standbys aside. */
 
 private:
     void step(std::size_t replica, const fleet_pipe_input &in)
@@ -256,6 +257,7 @@
     {
         simulated_engine &engine = engines.at(order.backend);
         if (engine.wouldChangeGroup(order.what, order.fence)) {
+            directMoves += isStandbyEpoch(engine.record.membership.epoch) ? 0 : 1;
             violations += engines.at(engine.members.front()).serves(engine.record.membership.epoch) ? 1 : 0;
         }
         return engine.execute(order.what, order.fence);
