The log tells to which run of a server an announcement and an order belong

Change: backend_noticed has started_at and announcement, engine_ordered has started_at.

Test: PlatformCore.TheLogTellsWhichRunOfAServerAnnouncedItselfAndWasOrdered (a replica as a process); it waited in vain for the fields before.

--- a/src/tasks/control_task_fleet.cpp
+++ b/src/tasks/control_task_fleet.cpp
@@ -92,7 +92,13 @@
 void control_task::execute(const send_engine_order &out)
 {
     static constexpr std::array<const char *, 6> outcomes{"begun", "done", "conflict", "fenced", "wrong backend", "unanswered"};
-    logEvent(event_number::EngineOrdered, {{"order", out.order}, {"backend", out.backend}, {"what", describeOrder(out.what)}, {"fence", out.fence}});
+    const backend_registry::entry *entry = m_fleet.registry().find(out.backend);
+    logEvent(event_number::EngineOrdered,
+             {{"order", out.order},
+              {"backend", out.backend},
+              {"what", describeOrder(out.what)},
+              {"fence", out.fence},
+              {"started_at", entry == nullptr ? 0 : entry->record.startedAt}});
     const auto outcome = std::make_shared<order_outcome>(order_outcome::Unanswered);
     m_engineClient->start(m_frontEnd->encodeOrder(out), [this, outcome, order = out.order, backend = out.backend](const http_event &event) {
         if (const auto *started = std::get_if<http_started>(&event)) {
@@ -135,6 +141,8 @@
               {"staged", out.record.staged.empty() ? std::string() : out.record.staged.back().value()},
               {"cold_ms", out.record.coldLeft.count()},
               {"request_limit", std::to_string(out.record.requestLimit)},
+              {"started_at", out.record.startedAt},
+              {"announcement", out.record.announcement},
               {"reason", out.reason}});
 }
 
--- a/tests/process/platform_core_test.cpp
+++ b/tests/process/platform_core_test.cpp
@@ -9,7 +9,10 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <sstream>
+#include <string>
 #include <sys/resource.h>
+#include <vector>
 
 using namespace carawayloft::test_support;
 
@@ -166,6 +169,20 @@
         return false;
     }
 
+    /** Whether any replica has logged a line with all of these parts. */
+    bool isLogged(const std::vector<std::string> &parts) const
+    {
+        return std::any_of(m_processes.begin(), m_processes.end(), [&](const auto &process) {
+            std::istringstream lines(process->log());
+            for (std::string line; std::getline(lines, line);) {
+                if (std::all_of(parts.begin(), parts.end(), [&](const std::string &part) { return line.find(part) != std::string::npos; })) {
+                    return true;
+                }
+            }
+            return false;
+        });
+    }
+
     int leaderHost() const
     {
         int found = 0;
@@ -303,6 +320,16 @@
     EXPECT_TRUE(allAlive());
 }
 
+// Guards against a log that does not tell to which run of a server an announcement and an order belong.
+TEST_F(PlatformCore, TheLogTellsWhichRunOfAServerAnnouncedItselfAndWasOrdered)
+{
+    await("engines are configured", [this] { return accepted(configurationWithEngines(2)); });
+    const std::string run = R"("started_at":"1700000000000")";
+    await("an engine is confirmed", [this] { return askRaw(leaderHost(), "PUT", "/-/instances/e-1", 7) == 200; });
+    await("its announcement is logged", [&] { return isLogged({R"("name":"backend_noticed")", R"("backend":"e-1")", R"("announcement":"7")", run}); });
+    await("an order to it is logged", [&] { return isLogged({R"("name":"engine_ordered")", R"("backend":"e-1")", run}); });
+}
+
 // Each was acknowledged, ended every replica that led once an engine checked in, and did so again after each start.
 TEST_F(PlatformCore, ConfigurationsWithOddFiguresEndNoReplicaAndASoundOneFollows)
 {
