--- a/tests/fleet/group_closure_test.cpp
+++ b/tests/fleet/group_closure_test.cpp
@@ -153,6 +153,27 @@
     EXPECT_TRUE(closure.isReleased(entry("member")));
 }
 
+// Guards against servers that stand idle for up to an announcement after each change of leader: they are used from their answer on.
+TEST_F(GroupClosure, AServerThatAnEarlierLeaderMayHaveOrderedIsReleasedByItsAnswerAlone)
+{
+    closure.setKnown({backend_id("spare")});
+    announce("spare", 2, membership_state::None, 1, group_epoch());
+    EXPECT_FALSE(closure.isReleased(entry("spare")));
+    leave("spare", group_epoch(1));
+    EXPECT_TRUE(closure.isReleased(entry("spare")));
+}
+
+// Guards against a run that this leader has seen start: it may have joined a group by a late order since it announced none.
+TEST_F(GroupClosure, AServerThatHasStartedAgainIsReleasedByAnAnnouncementAfterItsAnswer)
+{
+    announce("spare", 2, membership_state::None, 1, group_epoch());
+    announce("spare", 2, membership_state::None, 2, group_epoch());
+    leave("spare", group_epoch(1), 2);
+    EXPECT_FALSE(closure.isReleased(entry("spare")));
+    announce("spare", 2, membership_state::None, 2, group_epoch());
+    EXPECT_TRUE(closure.isReleased(entry("spare")));
+}
+
 TEST_F(GroupClosure, TheEndOfTheGroupOfAStandbyReleasesIt)
 {
     const group_epoch standby(9);
--- a/tests/fleet/late_orders_test.cpp
+++ b/tests/fleet/late_orders_test.cpp
@@ -151,6 +151,17 @@
     EXPECT_EQ(replicas.directMoves, 0U);
 }
 
+// Guards against servers that stay bound to a group that never opened, since nobody tells them to leave it.
+TEST_F(LateOrders, ServersOfAFormationThatFailedLeaveItAndAreUsedAgain)
+{
+    const backend_id silent = replicas.engines.begin()->first;
+    replicas.fateOfOrder = [&](const send_engine_order &order) { return order.backend == silent ? lost : replica_pair::order_fate(); };
+    replicas.lead(leader, 3);
+    replicas.settle(leader, 35); // Longer than a formation may take; the spare takes the place of the silent server then.
+    EXPECT_EQ(replicas.openHeads(), 2U);
+    EXPECT_EQ(replicas.directMoves, 0U);
+}
+
 // Guards against an update in which replicas of an earlier build, which number orders by their term alone, are refused by all engines.
 TEST_F(LateOrders, ReplicasOfAnEarlierBuildAndOfThisOneLeadAfterEachOther)
 {
