--- a/include/carawayloft/fleet/group_closure.h
+++ b/include/carawayloft/fleet/group_closure.h
@@ -27,11 +27,11 @@
 };
 
 /**
- * Decides from evidence which servers are bound to a group that control has given up. A server is free once the head
- * of its group has left it, or once the server itself has. There is no time limit: a group whose head cannot be heard
- * serves for as long as its members stay. An announcement is no evidence, since an order that is carried out late may
- * undo what it says; nor is a start, since a late order may reach the new run. An answer to an order to leave is: the
- * engine refuses all orders with a lower number from then on.
+ * Decides from evidence which groups are over, and which servers are free. A group is over once its head has left it; a
+ * server is free once it has left its group itself. There is no time limit: a group whose head cannot be heard serves for
+ * as long as its members stay. An announcement is no evidence, since an order that is carried out late may undo what it
+ * says; nor is a start, since a late order may reach the new run. An answer to an order to leave is: the engine refuses
+ * all orders with a lower number from then on.
  */
 class group_closure
 {
@@ -71,7 +71,7 @@
     /** Whether the head of the group is known not to serve. */
     bool hasEnded(group_epoch epoch) const;
 
-    /** Whether the server may be in the group by its record in the log. */
+    /** Whether the server may be in the group by its latest record in the log, also if that has been removed since. */
     bool isBoundByRecord(const backend_registry::entry &entry, group_epoch epoch) const;
 
     /** Whether the server may be in the group, by what it reports or by its record. */
@@ -85,16 +85,16 @@
      */
     bool mayJoinLate(const backend_registry::entry &entry) const;
 
-    /** Whether the server has left the group that it last reported, or the head of that has. */
+    /** Whether the server has left the group that it last reported; a standby needs not, since its group never opens. */
     bool isOutOfReportedGroup(const backend_registry::entry &entry) const;
 
-    /** Whether the server is in no group that it reports whose head may serve. */
+    /** Whether the server is not in the group that it reports: it has left it, or was chosen for a later one. */
     bool isReleasedByReport(const backend_registry::entry &entry) const;
 
     /** The latest recorded group of the server; zero for none. */
     group_epoch recordedEpoch(const backend_id &backend) const;
 
-    /** Whether the server is in no group whose head may serve. */
+    /** Whether the server may join another group: it has left the one that it reports and the one that it was last chosen for. */
     bool isReleased(const backend_registry::entry &entry) const;
 
 private:
--- a/src/fleet_pipe/group_controller_records.cpp
+++ b/src/fleet_pipe/group_controller_records.cpp
@@ -176,16 +176,20 @@
     return m_recorded.contains(each.group.epoch);
 }
 
-/** Whether nobody can be in the group any more: all of its servers have left it or are gone, and its head does not serve it or is long gone. */
+/** Whether nobody can be in the group any more: its head does not serve it and its servers have left it, or all of them are long gone. */
 bool group_controller::isOver(const engine_group_record &record) const
 {
-    const bool isVacant = std::none_of(record.members.begin(), record.members.end(), [&](const engine_member_record &each) {
+    const bool hasEnded = m_closure.hasEnded(record.epoch);
+    const auto givenUp = m_givenUp.find(record.epoch);
+    if (!hasEnded && (givenUp == m_givenUp.end() || m_now < givenUp->second + goneGroupRetention)) {
+        return false;
+    }
+    return std::none_of(record.members.begin(), record.members.end(), [&](const engine_member_record &each) {
         const backend_registry::entry *entry = findEntry(each.backend);
-        return isPresent(entry) && m_closure.mayBeIn(*entry, record.epoch);
+        // A lost member of a group that has ended will report the group if it returns.
+        const bool counts = hasEnded ? isPresent(entry) : entry != nullptr;
+        return counts && m_closure.mayBeIn(*entry, record.epoch);
     });
-    const auto givenUp = m_givenUp.find(record.epoch);
-    const bool isHeadLongGone = givenUp != m_givenUp.end() && m_now >= givenUp->second + goneGroupRetention;
-    return isVacant && (m_closure.hasEnded(record.epoch) || isHeadLongGone);
 }
 
 engine_group_record group_controller::recordOf(const managed_group &each) const
