Orders to leave are sent again after 150 ms, and the answer to any sending counts

Also an answer that came after the order was sent again did not count, at any build.

Change: an order to leave is sent again every 150 ms until it is answered; the answer to any sending of it counts. All have the same number, so each proves that the engine has left and refuses older orders. Calm servers answer within some 10 ms and get one order, as before.

Test: LateOrders.TheAnswerToAnySendingOfAnOrderToLeaveCounts; on servers whose answers take longer than the pause were never released. LateOrders, FleetDay, GroupClosure, RecordedGroup, LeaderHandover and FleetPipe tests pass.

--- a/include/carawayloft/fleet/group_controller.h
+++ b/include/carawayloft/fleet/group_controller.h
@@ -171,6 +171,7 @@
     struct order_target {
         group_epoch epoch; /**< Zero for no group. */
         backend_id backend;
+        fencing_token fence; /**< The same for all sendings of one order. */
     };
     /** What the group of an epoch is for; the epoch itself tells it, also to later leaders. */
     enum class epoch_use : std::uint8_t {
--- a/src/fleet_pipe/group_controller.cpp
+++ b/src/fleet_pipe/group_controller.cpp
@@ -125,8 +125,10 @@
     if (const auto standby = m_standby.find(target.backend); standby != m_standby.end() && standby->second.epoch == target.epoch) {
         recordOutcome(standby->second.joinOrder, target, in);
     }
-    if (const auto leaving = m_departures.find({target.backend, target.epoch}); leaving != m_departures.end() && leaving->second.order.order == in.order) {
+    if (const auto leaving = m_departures.find({target.backend, target.epoch}); leaving != m_departures.end() && leaving->second.order.fence == target.fence) {
+        // An answer to an earlier sending proves the same.
         if (in.outcome == order_outcome::Done) {
+            leaving->second.order.answered = true;
             m_closure.recordLeft({target.backend, target.epoch, leaving->second.startedAt, m_now});
         }
         recordOutcome(leaving->second.order, target, in);
@@ -204,7 +206,7 @@
         // Staging changes no membership, so it needs no number of its own, with which it would overtake a join.
         slot.fence = std::holds_alternative<stage_model>(what) ? m_fences.current(backend) : m_fences.next(backend);
     }
-    m_pendingOrders[m_lastOrder] = {epoch, backend};
+    m_pendingOrders[m_lastOrder] = {epoch, backend, *slot.fence};
     m_out.emplace_back(engine_order_requested{m_lastOrder, backend, *slot.fence, std::move(what)});
 }
 
--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -18,6 +18,12 @@
 /** Time allowed for a head to stop at once; members of a head that does not say so leave it. */
 static constexpr duration headAnswerTimeout{700};
 
+/**
+ * Time after which an order to leave is sent again. All members have to answer before they are used, so an order that is
+ * lost must not cost a whole timeout; the answer to any sending counts.
+ */
+static constexpr duration leaveResendDelay{150};
+
 /** Epochs of groups that are formed are higher. */
 static constexpr group_epoch neverFormed{1};
 
@@ -157,7 +163,7 @@
         leaving = {startedAt, m_now, {}};
     }
     leaving.order.answered = leaving.order.answered && m_now < leaving.order.sentAt + orderResendDelay;
-    send(leaving.order, epoch, member, leave_group{epoch}, orderResendDelay);
+    send(leaving.order, epoch, member, leave_group{epoch}, leaveResendDelay);
 }
 
 /** Orders the server to leave a group that never was: once it has answered, it refuses all orders to an earlier run of it. */
--- a/tests/fleet/late_orders_test.cpp
+++ b/tests/fleet/late_orders_test.cpp
@@ -162,6 +162,23 @@
     EXPECT_EQ(replicas.directMoves, 0U);
 }
 
+// Guards against servers that are never free, since each answer to an order to leave comes after that order was sent again.
+TEST_F(LateOrders, TheAnswerToAnySendingOfAnOrderToLeaveCounts)
+{
+    replicas.lead(leader, 3);
+    replicas.settle(leader, 10);
+    const group_epoch before = firstGroup().epoch;
+    replicas.fateOfOrder = [](const send_engine_order &order) {
+        const bool isLeave = std::holds_alternative<leave_group>(order.what);
+        return isLeave ? replica_pair::order_fate{false, false, duration(700), true} : replica_pair::order_fate();
+    };
+    replicas.restart(firstGroup().members.back());
+    replicas.settle(leader, 40);
+    EXPECT_NE(firstGroup().epoch, before);
+    EXPECT_EQ(replicas.openHeads(), 2U);
+    EXPECT_EQ(replicas.directMoves, 0U);
+}
+
 // Guards against an update in which replicas of an earlier build, which number orders by their term alone, are refused by all engines.
 TEST_F(LateOrders, ReplicasOfAnEarlierBuildAndOfThisOneLeadAfterEachOther)
 {
