Formation waits longer for members that were told to leave

Suspected cause, by reading: members are free one by one now, as they answer. Formation waited 150 ms for all of them, which was only needed where a head did not answer. With a part of the 32 members of a large group free, groups of 8 are formed of them, and the rest is too few for a large one.

Calm members answer within some 10 ms, and nothing waits longer than that.

LateOrders, FleetDay, GroupClosure, RecordedGroup, LeaderHandover and FleetPipe tests pass.

--- a/src/fleet_pipe/group_controller_closing.cpp
+++ b/src/fleet_pipe/group_controller_closing.cpp
@@ -27,8 +27,8 @@
 /** Epochs of groups that are formed are higher. */
 static constexpr group_epoch neverFormed{1};
 
-/** Time for which plans and formation wait for members that were told to leave: with all of them there is less to load, and one plan does. */
-static constexpr duration leaveAnswerTime{150};
+/** Time for which plans and formation wait for members that were told to leave: of a part of them only smaller groups would be formed. */
+static constexpr duration leaveAnswerTime{500};
 
 /** Takes the group out of the records. Its members are free only as far as m_closure says so. */
 void group_controller::dissolve(group_epoch epoch, const char *reason)
